--- a/src/burdocksail/core/_requests.py
+++ b/src/burdocksail/core/_requests.py
@@ -82,7 +82,7 @@
         Class given by the caller; None leaves it to the statistics.
     in_transaction : bool
         Whether the statement belongs to the session's open transaction.
-    service : str
+    service_name : str
         Service that the database belongs to, for fair shares.
     """
 
@@ -102,7 +102,7 @@
     repeatable: bool = False
     work_class: WorkClass | None = None
     in_transaction: bool = False
-    service: str = ""
+    service_name: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/burdocksail/core/_statements.py
+++ b/src/burdocksail/core/_statements.py
@@ -57,10 +57,16 @@
 
 
 def find_session_state(sql: str) -> str:
-    """Return the part of `sql` that would leave state on a pooled connection.
+    """Return the part of `sql` that cannot run on a pooled connection.
 
-    The result is empty for a statement that leaves none.
+    That is what would leave state on the connection, and what follows a first
+    statement: if a second one fails, the first has run all the same. The
+    result is empty for a statement that can run.
     """
+    if ";" in sql:
+        first, _, rest = _LITERALS.sub("?", sql).partition(";")
+        if rest.strip("; \t\r\n"):
+            return "a second statement"
     match = _SESSION_STATE.search(sql)
     return match[0].strip() if match else ""
 
--- a/src/burdocksail/node/__init__.py
+++ b/src/burdocksail/node/__init__.py
@@ -33,6 +33,7 @@
     UpstreamConnected,
 )
 from burdocksail.node._invariants import InvariantError
+from burdocksail.node._messages import Message
 from burdocksail.node._metrics import Metrics, make_histogram, summarise_histogram
 from burdocksail.node._node import Node
 from burdocksail.node._options import OptionError, parse_options
@@ -88,6 +89,7 @@
     "ListInstances",
     "ListObjects",
     "ListedInstance",
+    "Message",
     "MessageArrived",
     "MessageNotSent",
     "Metrics",
--- a/src/burdocksail/node/_admission.py
+++ b/src/burdocksail/node/_admission.py
@@ -110,20 +110,22 @@
     """Return the expected wait of work, given the fair share of its service."""
     total = estimate_wait(state, work.work_class, slots)
     queue = _queue_of(state, work.work_class)
-    own = queue.by_service.get(work.request.service)
+    own = queue.by_service.get(work.request.service_name)
     if queue.length == 0:
         return total
     own_length = len(own) if own else 0
     weights = {s: _share(board, s) for s, works in queue.by_service.items() if works}
-    weights.setdefault(work.request.service, _share(board, work.request.service))
-    slowdown = sum(weights.values()) / weights[work.request.service]
+    weights.setdefault(
+        work.request.service_name, _share(board, work.request.service_name)
+    )
+    slowdown = sum(weights.values()) / weights[work.request.service_name]
     return total * min(1.0, (own_length * slowdown) / queue.length)
 
 
 def enqueue_work(board: Blackboard, state: ServerState, work: Work) -> None:
     """Add work to the queue of its class."""
     queue = _queue_of(state, work.work_class)
-    service = work.request.service
+    service = work.request.service_name
     waiting = queue.by_service.get(service)
     if waiting is None:
         waiting = queue.by_service[service] = deque()
--- a/src/burdocksail/node/_effects.py
+++ b/src/burdocksail/node/_effects.py
@@ -20,6 +20,8 @@
         Consistency token of the session after the answer.
     in_transaction : bool
         Whether the session has an open transaction after the answer.
+    autocommit : bool
+        Whether the session's statements commit by themselves.
     """
 
     request_id: str
@@ -27,6 +29,7 @@
     answer: Answer
     token: str
     in_transaction: bool
+    autocommit: bool
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/burdocksail/node/_entry.py
+++ b/src/burdocksail/node/_entry.py
@@ -238,7 +238,7 @@
         time_left=options.deadline or service.deadline,
         repeatable=options.repeatable,
         work_class=options.work_class,
-        service=service.name,
+        service_name=service.name,
     )
 
 
@@ -531,5 +531,12 @@
 ) -> None:
     in_transaction = bool(session.transaction_group) or session.transaction_failed
     board.emit(
-        Reply(request_id, session.session_id, answer, session.token, in_transaction)
+        Reply(
+            request_id,
+            session.session_id,
+            answer,
+            session.token,
+            in_transaction,
+            session.autocommit,
+        )
     )
--- a/src/burdocksail/node/_outcomes.py
+++ b/src/burdocksail/node/_outcomes.py
@@ -217,7 +217,7 @@
 
 
 def _must_await_replica(board: Blackboard, runtime: GroupRuntime, work: Work) -> bool:
-    service = board.configuration.services.get(work.request.service)
+    service = board.configuration.services.get(work.request.service_name)
     rule = service.acknowledge_after if service else AcknowledgeAfter.REPLICA
     return rule is AcknowledgeAfter.REPLICA and len(runtime.servers) > 1
 
--- a/src/burdocksail/node/_work.py
+++ b/src/burdocksail/node/_work.py
@@ -63,7 +63,7 @@
         board.work.works[request.request_id].origin = origin
         return
     runtime = board.work.runtimes[request.group]
-    service = board.configuration.services.get(request.service)
+    service = board.configuration.services.get(request.service_name)
     fingerprint = _admission.compute_fingerprint(request.sql)
     work_class = request.work_class or _admission.classify_work(
         board, request.sql, service, fingerprint
--- /dev/null
+++ b/src/burdocksail/shell/_admin.py
@@ -0,0 +1,58 @@
+"""Operators' HTTP interface of an instance: state, metrics and health.
+
+It changes nothing. Operators drive the platform by records alone.
+"""
+
+from typing import Any, Protocol
+
+from aiohttp import web
+
+
+class AdminTarget(Protocol):
+    """What the interface shows."""
+
+    def dump(self) -> dict[str, Any]:
+        """Return the process's state."""
+        ...
+
+    def is_ready(self) -> bool:
+        """Return whether the balancer should send callers here."""
+        ...
+
+
+class AdminServer:
+    """Serves ``/dump``, ``/metrics`` and ``/ready``."""
+
+    def __init__(self, target: AdminTarget):
+        self._target = target
+        self._runner: web.AppRunner | None = None
+
+    async def start(self, host: str, port: int) -> int:
+        """Listen; return the port."""
+        application = web.Application()
+        application.router.add_get("/dump", self._dump)
+        application.router.add_get("/metrics", self._metrics)
+        application.router.add_get("/ready", self._ready)
+        self._runner = web.AppRunner(application, access_log=None)
+        await self._runner.setup()
+        site = web.TCPSite(self._runner, host, port)
+        await site.start()
+        return self._runner.addresses[0][1]
+
+    async def close(self) -> None:
+        """Stop to listen."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    async def _dump(self, request: web.Request) -> web.Response:
+        return web.json_response(self._target.dump())
+
+    async def _metrics(self, request: web.Request) -> web.Response:
+        state = self._target.dump()
+        return web.json_response(
+            {"counters": state["counters"], "latencies": state["latencies"]}
+        )
+
+    async def _ready(self, request: web.Request) -> web.Response:
+        ready = self._target.is_ready()
+        return web.json_response({"ready": ready}, status=200 if ready else 503)
--- /dev/null
+++ b/src/burdocksail/shell/_peers.py
@@ -0,0 +1,246 @@
+"""Connections between instances.
+
+Each instance opens one connection to each peer that it sends to. Frames are
+authenticated by the platform's shared key and the nonces of both sides.
+"""
+
+import asyncio
+import secrets
+import socket
+from collections import deque
+from collections.abc import Callable
+
+from burdocksail.core import Instance
+from burdocksail.node import (
+    Event,
+    Message,
+    MessageArrived,
+    MessageNotSent,
+    PeerUnreachable,
+)
+from burdocksail.wire import (
+    NONCE_BYTES,
+    FrameDecoder,
+    FrameEncoder,
+    WireError,
+    decode_hello,
+    decode_message,
+    derive_key,
+    encode_hello,
+    encode_message,
+)
+
+CONNECT_TIMEOUT_S = 1.0
+HELLO_TIMEOUT_S = 2.0
+# The kernel gives a connection up whose data is not acknowledged for so long.
+USER_TIMEOUT_MS = 2000
+READ_BYTES = 256 * 1024
+MAX_HELLO_BYTES = 4096
+MAX_QUEUED_MESSAGES = 20_000
+IDLE_CLOSE_S = 60.0
+
+HandleEvent = Callable[[Event], None]
+
+
+class PeerNetwork:
+    """Sends and receives messages of instances.
+
+    Parameters
+    ----------
+    instance : Instance
+        This instance.
+    shared_key : bytes
+        Key of the platform, the same on all instances.
+    handle_event : callable
+        Takes the events for the node.
+    """
+
+    def __init__(
+        self, instance: Instance, shared_key: bytes, handle_event: HandleEvent
+    ):
+        self._instance = instance
+        self._shared_key = shared_key
+        self._handle_event = handle_event
+        self._links: dict[tuple[str, int], _PeerLink] = {}
+        self._server: asyncio.Server | None = None
+        self._incoming: set[asyncio.StreamWriter] = set()
+        self.malformed_frames = 0
+        self.bytes_sent = 0
+        self.bytes_received = 0
+
+    async def start(self, host: str, port: int) -> int:
+        """Listen for other instances; return the port."""
+        self._server = await asyncio.start_server(self._serve, host, port)
+        return self._server.sockets[0].getsockname()[1]
+
+    def set_instance(self, instance: Instance) -> None:
+        """Set the identity that is told to peers."""
+        self._instance = instance
+
+    def send(self, receiver: Instance, message: Message) -> None:
+        """Send a message; what certainly did not leave comes back as an event."""
+        address = (receiver.host, receiver.port)
+        link = self._links.get(address)
+        if link is None:
+            link = _PeerLink(self, receiver)
+            self._links[address] = link
+        link.send(receiver, message)
+
+    def close(self) -> None:
+        """Close all connections."""
+        if self._server is not None:
+            self._server.close()
+        for link in list(self._links.values()):
+            link.close()
+        for writer in list(self._incoming):
+            writer.close()
+
+    def forget_link(self, address: tuple[str, int]) -> None:
+        """Forget a link that has ended."""
+        self._links.pop(address, None)
+
+    def report(self, event: Event) -> None:
+        """Hand an event to the node."""
+        self._handle_event(event)
+
+    def make_hello(self, nonce: bytes) -> bytes:
+        """Return the first frame of a connection."""
+        encoder = FrameEncoder(self.hello_key())
+        return encoder.encode(encode_hello(self._instance, nonce))
+
+    def hello_key(self) -> bytes:
+        """Return the key of first frames."""
+        return derive_key(self._shared_key, b"", b"")
+
+    def frame_key(self, sender_nonce: bytes, receiver_nonce: bytes) -> bytes:
+        """Return the key of all other frames."""
+        return derive_key(self._shared_key, sender_nonce, receiver_nonce)
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._incoming.add(writer)
+        try:
+            await self._receive(reader, writer)
+        except WireError:
+            self.malformed_frames += 1
+        except (OSError, TimeoutError, asyncio.CancelledError):
+            pass
+        finally:
+            self._incoming.discard(writer)
+            writer.close()
+
+    async def _receive(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        decoder = FrameDecoder(self.hello_key(), MAX_HELLO_BYTES)
+        own_nonce = secrets.token_bytes(NONCE_BYTES)
+        async with asyncio.timeout(HELLO_TIMEOUT_S):
+            sender, nonce = decode_hello(await _read_frame(reader, decoder))
+        writer.write(self.make_hello(own_nonce))
+        decoder = FrameDecoder(self.frame_key(nonce, own_nonce))
+        while data := await reader.read(READ_BYTES):
+            self.bytes_received += len(data)
+            for payload in decoder.feed(data):
+                self._handle_event(MessageArrived(sender, decode_message(payload)))
+
+
+async def _read_frame(reader: asyncio.StreamReader, decoder: FrameDecoder) -> bytes:
+    while data := await reader.read(READ_BYTES):
+        for payload in decoder.feed(data):
+            return payload
+    raise WireError("the connection ended before its first frame")
+
+
+class _PeerLink:
+    """The outgoing connection to one peer."""
+
+    def __init__(self, network: PeerNetwork, receiver: Instance):
+        self._network = network
+        self._receiver = receiver
+        self._queue: deque[tuple[Instance, Message]] = deque()
+        self._encoder: FrameEncoder | None = None
+        self._writer: asyncio.StreamWriter | None = None
+        self._used = True
+        self._task = asyncio.get_running_loop().create_task(self._run())
+
+    def send(self, receiver: Instance, message: Message) -> None:
+        self._receiver = receiver
+        self._used = True
+        if self._writer is None or self._encoder is None:
+            if len(self._queue) >= MAX_QUEUED_MESSAGES:
+                self._network.report(MessageNotSent(receiver, message))
+                return
+            self._queue.append((receiver, message))
+            return
+        self._write(receiver, message)
+
+    def close(self) -> None:
+        self._task.cancel()
+        if self._writer is not None:
+            self._writer.close()
+
+    def _write(self, receiver: Instance, message: Message) -> None:
+        assert self._writer is not None and self._encoder is not None
+        try:
+            frame = self._encoder.encode(encode_message(message))
+        except WireError:
+            self._network.report(MessageNotSent(receiver, message))
+            return
+        self._network.bytes_sent += len(frame)
+        self._writer.write(frame)
+
+    async def _run(self) -> None:
+        address = (self._receiver.host, self._receiver.port)
+        lost = False
+        try:
+            reader = await self._connect(address)
+            while self._queue:
+                self._write(*self._queue.popleft())
+            lost = await self._wait_for_end(reader)
+        except (OSError, TimeoutError, WireError):
+            lost = True
+        finally:
+            self._network.forget_link(address)
+            if self._writer is not None:
+                self._writer.close()
+            self._writer = None
+        for receiver, message in self._queue:
+            self._network.report(MessageNotSent(receiver, message))
+        if lost:
+            self._network.report(PeerUnreachable(self._receiver))
+
+    async def _connect(self, address: tuple[str, int]) -> asyncio.StreamReader:
+        async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            reader, writer = await asyncio.open_connection(*address)
+        _set_user_timeout(writer)
+        nonce = secrets.token_bytes(NONCE_BYTES)
+        writer.write(self._network.make_hello(nonce))
+        decoder = FrameDecoder(self._network.hello_key(), MAX_HELLO_BYTES)
+        try:
+            async with asyncio.timeout(HELLO_TIMEOUT_S):
+                _, peer_nonce = decode_hello(await _read_frame(reader, decoder))
+        except BaseException:
+            writer.close()
+            raise
+        self._encoder = FrameEncoder(self._network.frame_key(nonce, peer_nonce))
+        self._writer = writer
+        return reader
+
+    async def _wait_for_end(self, reader: asyncio.StreamReader) -> bool:
+        """Return whether the peer ended the connection; False if it was idle."""
+        while True:
+            self._used = False
+            try:
+                async with asyncio.timeout(IDLE_CLOSE_S):
+                    await reader.read(1)
+                return True
+            except TimeoutError:
+                if not self._used:
+                    return False
+
+
+def _set_user_timeout(writer: asyncio.StreamWriter) -> None:
+    raw = writer.get_extra_info("socket")
+    if raw is not None and hasattr(socket, "TCP_USER_TIMEOUT"):
+        raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
--- /dev/null
+++ b/src/burdocksail/shell/_process.py
@@ -0,0 +1,256 @@
+"""One instance as a process: a node with its sockets."""
+
+import asyncio
+import secrets
+from dataclasses import dataclass
+from functools import singledispatchmethod
+
+from burdocksail.core import Instance, SystemClock
+from burdocksail.node import (
+    TICK_INTERVAL,
+    CallStore,
+    CloseConnection,
+    Effect,
+    Event,
+    Node,
+    NodeSettings,
+    OpenConnection,
+    Reply,
+    ReportStopped,
+    RunAdmin,
+    RunOperation,
+    Send,
+    StopRequested,
+    StoreReplied,
+    Tick,
+)
+from burdocksail.shell._admin import AdminServer
+from burdocksail.shell._callers import CallerSession, ReplyTable
+from burdocksail.shell._logging import get_logger
+from burdocksail.shell._peers import PeerNetwork
+from burdocksail.shell._sql_server import SqlServer
+from burdocksail.shell._store_client import StoreClient
+from burdocksail.shell._upstreams import UpstreamPool
+
+STOP_GRACE_S = 0.5
+
+
+@dataclass(frozen=True, slots=True)
+class InstanceSettings:
+    """Settings of an instance's process.
+
+    Attributes
+    ----------
+    name, failure_domain : str
+        Identity.
+    host : str
+        IP address to listen on and to tell to others.
+    sql_port, peer_port, admin_port : int
+        Ports for callers, for instances and for operators; 0 for any.
+    store_url : str
+        Base URL of the platform's store.
+    shared_key : bytes
+        Key of frames between instances and of consistency tokens.
+    seeds : tuple of Instance
+        Instances to contact while the store is out of reach.
+    """
+
+    name: str
+    failure_domain: str
+    host: str
+    sql_port: int
+    peer_port: int
+    admin_port: int
+    store_url: str
+    shared_key: bytes
+    seeds: tuple[Instance, ...] = ()
+
+
+class InstanceProcess:
+    """Runs a node on sockets until it has stopped."""
+
+    def __init__(self, settings: InstanceSettings):
+        self._settings = settings
+        self._log = get_logger()
+        self._replies = ReplyTable()
+        self._store = StoreClient(settings.store_url)
+        self._upstreams = UpstreamPool(self.handle_event)
+        self._sql = SqlServer(self._make_session, self._find_password_hash)
+        self._admin = AdminServer(self)
+        self._stopped = asyncio.Event()
+        self._tasks: set[asyncio.Task] = set()
+        incarnation = secrets.token_hex(6)
+        self.instance = Instance(
+            settings.name,
+            incarnation,
+            settings.failure_domain,
+            settings.host,
+            settings.peer_port,
+        )
+        self._peers = PeerNetwork(self.instance, settings.shared_key, self.handle_event)
+        self.node: Node | None = None
+        self.sql_port = 0
+        self.admin_port = 0
+
+    async def start(self) -> None:
+        """Open all ports and start the node."""
+        settings = self._settings
+        peer_port = await self._peers.start(settings.host, settings.peer_port)
+        self.instance = Instance(
+            self.instance.name,
+            self.instance.incarnation,
+            self.instance.failure_domain,
+            settings.host,
+            peer_port,
+        )
+        self._peers.set_instance(self.instance)
+        node_settings = NodeSettings(self.instance, settings.shared_key, settings.seeds)
+        seed = secrets.randbits(32)
+        self.node = Node(node_settings, SystemClock(), seed)
+        self._perform_all(self.node.start())
+        self._spawn(self._tick())
+        self.sql_port = await self._sql.start(settings.host, settings.sql_port)
+        self.admin_port = await self._admin.start(settings.host, settings.admin_port)
+        self._log.info(
+            "started",
+            incarnation=self.instance.incarnation,
+            sql_port=self.sql_port,
+            peer_port=peer_port,
+            admin_port=self.admin_port,
+        )
+
+    def request_stop(self) -> None:
+        """Begin a graceful stop."""
+        self._log.info("stop_requested")
+        self.handle_event(StopRequested())
+
+    async def wait_until_stopped(self) -> None:
+        """Return once the node holds nothing and callers are gone."""
+        await self._stopped.wait()
+        self._sql.stop_listening()
+        self._sql.close_idle_connections(lambda session: False)
+        await asyncio.sleep(STOP_GRACE_S)
+        await self.close()
+        self._log.info("stopped")
+
+    async def close(self) -> None:
+        """Close everything at once."""
+        for task in list(self._tasks):
+            task.cancel()
+        self._sql.stop_listening()
+        for connection in list(self._sql.connections.values()):
+            connection.stream.writer.close()
+        self._upstreams.close_all()
+        self._peers.close()
+        await self._admin.close()
+        await self._store.close()
+
+    def handle_event(self, event: Event) -> None:
+        """Let the node handle an event and perform its effects."""
+        assert self.node is not None
+        self._perform_all(self.node.handle(event))
+
+    def is_ready(self) -> bool:
+        """Return whether the balancer should send callers here."""
+        node = self.node
+        if node is None:
+            return False
+        board = node.board
+        return board.stop.requested_at is None and bool(board.configuration.groups)
+
+    def dump(self) -> dict:
+        """Return the state of the process for operators."""
+        assert self.node is not None
+        return {
+            **self.node.dump(),
+            "process": {
+                "sql_connections": len(self._sql.connections),
+                "sql_protocol_errors": self._sql.protocol_errors,
+                "sql_refused_logins": self._sql.refused_logins,
+                "peer_malformed_frames": self._peers.malformed_frames,
+                "peer_bytes_sent": self._peers.bytes_sent,
+                "peer_bytes_received": self._peers.bytes_received,
+            },
+        }
+
+    def _make_session(self) -> CallerSession:
+        return CallerSession(self, self._replies, self.instance.key)
+
+    def _find_password_hash(self, account_name: str) -> str | None:
+        assert self.node is not None
+        services = self.node.board.configuration.service_of_account
+        service = services.get(account_name)
+        if service is None:
+            return None
+        for account in service.accounts:
+            if account.name == account_name:
+                return account.password_hash
+        return None
+
+    async def _tick(self) -> None:
+        while True:
+            await asyncio.sleep(TICK_INTERVAL.total_seconds())
+            self.handle_event(Tick())
+            board = self.node.board
+            if board.stop.requested_at is not None:
+                # Between two requests a caller loses nothing; the balancer
+                # sends its next connection elsewhere.
+                self._sql.close_idle_connections(
+                    lambda session: session.is_in_transaction()
+                )
+
+    def _spawn(self, coroutine: object) -> None:
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._finish_task)
+
+    def _finish_task(self, task: asyncio.Task) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self._log.error("task_failed", exc_info=task.exception())
+
+    def _perform_all(self, effects: list[Effect]) -> None:
+        for effect in effects:
+            self._perform(effect)
+
+    @singledispatchmethod
+    def _perform(self, effect: Effect) -> None:
+        raise TypeError(f"not an effect: {type(effect).__name__}")
+
+    @_perform.register
+    def _(self, effect: Reply) -> None:
+        self._replies.resolve(effect)
+
+    @_perform.register
+    def _(self, effect: Send) -> None:
+        self._peers.send(effect.receiver, effect.message)
+
+    @_perform.register
+    def _(self, effect: RunOperation) -> None:
+        self._upstreams.run(effect.operation)
+
+    @_perform.register
+    def _(self, effect: OpenConnection) -> None:
+        self._upstreams.open(effect.connection_id, effect.group, effect.server)
+
+    @_perform.register
+    def _(self, effect: CloseConnection) -> None:
+        self._upstreams.close(effect.connection_id)
+
+    @_perform.register
+    def _(self, effect: RunAdmin) -> None:
+        self._upstreams.run_admin(
+            effect.action_id, effect.group, effect.server, effect.action, effect.timeout
+        )
+
+    @_perform.register
+    def _(self, effect: CallStore) -> None:
+        self._spawn(self._call_store(effect))
+
+    @_perform.register
+    def _(self, effect: ReportStopped) -> None:
+        self._stopped.set()
+
+    async def _call_store(self, effect: CallStore) -> None:
+        reply = await self._store.call(effect.operation, effect.timeout)
+        self.handle_event(StoreReplied(effect.call_id, reply))
--- /dev/null
+++ b/src/burdocksail/shell/_upstreams.py
@@ -0,0 +1,268 @@
+"""Connections to upstream servers, over a MySQL client library."""
+
+import asyncio
+from collections.abc import Callable
+from datetime import timedelta
+from typing import Any
+
+import asyncmy
+import asyncmy.errors
+
+from burdocksail.core import Column, ResultSet
+from burdocksail.node import (
+    AdminAction,
+    AdminFinished,
+    Event,
+    Operation,
+    OperationFinished,
+    OperationResult,
+    OperationStatus,
+    ServerReport,
+    UpstreamClosed,
+    UpstreamConnected,
+)
+from burdocksail.records import Group, Server
+from burdocksail.upstream import UpstreamError, script_admin, script_operation
+
+CONNECT_TIMEOUT_S = 3
+# Codes below this one are MySQL's client errors: the connection broke.
+FIRST_CLIENT_ERROR = 2000
+LAST_CLIENT_ERROR = 2999
+MAX_IDLE_ADMIN_CONNECTIONS = 2
+
+HandleEvent = Callable[[Event], None]
+
+
+class ConnectionBrokenError(Exception):
+    """The connection broke; what was sent may have taken effect."""
+
+
+class UpstreamConnection:
+    """One connection to a server, with its current database."""
+
+    def __init__(self, connection: Any):
+        self._connection = connection
+        self._database = ""
+
+    @classmethod
+    async def open(cls, group: Group, server: Server) -> "UpstreamConnection":
+        """Connect to a server.
+
+        Raises
+        ------
+        ConnectionBrokenError
+            If the server cannot be reached or refuses.
+        """
+        try:
+            connection = await asyncmy.connect(
+                host=server.host,
+                port=server.port,
+                user=group.user,
+                password=group.password,
+                autocommit=None,
+                connect_timeout=CONNECT_TIMEOUT_S,
+                # Values pass through as MySQL's text; no decoder may touch them.
+                conv={int: str},
+                use_unicode=False,
+            )
+        except (asyncmy.errors.MySQLError, OSError, TimeoutError) as error:
+            raise ConnectionBrokenError(str(error)) from error
+        return cls(connection)
+
+    async def use(self, database: str) -> None:
+        """Make `database` the current one, if it is not."""
+        if database and database != self._database:
+            await self._call(self._connection.select_db(database))
+            self._database = database
+
+    async def query(self, sql: str) -> ResultSet:
+        """Run one statement.
+
+        Raises
+        ------
+        UpstreamError
+            If the server answers with an error.
+        ConnectionBrokenError
+            If the connection breaks.
+        """
+        cursor = self._connection.cursor()
+        await self._call(cursor.execute(sql))
+        if cursor.description is None:
+            return ResultSet(
+                affected_rows=max(cursor.rowcount, 0),
+                last_insert_id=cursor.lastrowid or 0,
+            )
+        columns = tuple(Column(d[0], d[1]) for d in cursor.description)
+        return ResultSet(columns, await cursor.fetchall())
+
+    def close(self) -> None:
+        """Close the connection at once."""
+        self._connection.close()
+
+    async def _call(self, awaitable: Any) -> Any:
+        try:
+            return await awaitable
+        except asyncmy.errors.MySQLError as error:
+            code = error.args[0] if error.args else 0
+            if not isinstance(code, int) or code == 0:
+                raise ConnectionBrokenError(str(error)) from error
+            if FIRST_CLIENT_ERROR <= code <= LAST_CLIENT_ERROR:
+                raise ConnectionBrokenError(str(error)) from error
+            message = str(error.args[1]) if len(error.args) > 1 else ""
+            raise UpstreamError(code, message) from error
+        except (OSError, asyncio.IncompleteReadError, RuntimeError) as error:
+            raise ConnectionBrokenError(str(error)) from error
+
+
+class UpstreamPool:
+    """All upstream connections of an instance, by the node's numbers."""
+
+    def __init__(self, handle_event: HandleEvent):
+        self._handle_event = handle_event
+        self._connections: dict[int, UpstreamConnection] = {}
+        self._running: dict[int, asyncio.Task] = {}
+        self._idle_admin: dict[str, list[UpstreamConnection]] = {}
+        self._tasks: set[asyncio.Task] = set()
+
+    def open(self, connection_id: int, group: Group, server: Server) -> None:
+        """Start to connect; an event follows."""
+        task = self._spawn(self._open(connection_id, group, server))
+        self._running[connection_id] = task
+
+    def close(self, connection_id: int) -> None:
+        """Close a connection, whatever it is doing; no event follows."""
+        connection = self._connections.pop(connection_id, None)
+        if connection is not None:
+            connection.close()
+        task = self._running.pop(connection_id, None)
+        if task is not None:
+            task.cancel()
+
+    def run(self, operation: Operation) -> None:
+        """Start an operation; an event follows."""
+        task = self._spawn(self._run(operation))
+        self._running[operation.connection_id] = task
+
+    def run_admin(
+        self,
+        action_id: int,
+        group: Group,
+        server: Server,
+        action: AdminAction,
+        timeout: timedelta,
+    ) -> None:
+        """Start an administrative action; an event follows."""
+        self._spawn(self._run_admin(action_id, group, server, action, timeout))
+
+    def close_all(self) -> None:
+        """Close everything."""
+        for connection_id in list(self._connections):
+            self.close(connection_id)
+        for connections in self._idle_admin.values():
+            for connection in connections:
+                connection.close()
+        for task in list(self._tasks):
+            task.cancel()
+
+    def _spawn(self, coroutine: Any) -> asyncio.Task:
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    async def _open(self, connection_id: int, group: Group, server: Server) -> None:
+        try:
+            connection = await UpstreamConnection.open(group, server)
+        except ConnectionBrokenError as error:
+            self._handle_event(UpstreamClosed(connection_id, str(error)))
+            return
+        self._connections[connection_id] = connection
+        self._running.pop(connection_id, None)
+        self._handle_event(UpstreamConnected(connection_id))
+
+    async def _run(self, operation: Operation) -> None:
+        connection = self._connections.get(operation.connection_id)
+        result = OperationResult(OperationStatus.NOT_SENT)
+        if connection is not None:
+            result = await self._run_script(connection, operation)
+        self._running.pop(operation.connection_id, None)
+        self._handle_event(OperationFinished(operation.operation_id, result))
+
+    async def _run_script(
+        self, connection: UpstreamConnection, operation: Operation
+    ) -> OperationResult:
+        try:
+            await connection.use(operation.database)
+        except UpstreamError as error:
+            return OperationResult(
+                OperationStatus.REFUSED, error_code=error.code, message=error.message
+            )
+        except ConnectionBrokenError as error:
+            self._drop(operation.connection_id)
+            return OperationResult(OperationStatus.NOT_SENT, message=str(error))
+        try:
+            return await _drive(script_operation(operation), connection)
+        except ConnectionBrokenError as error:
+            self._drop(operation.connection_id)
+            return OperationResult(OperationStatus.LOST, message=str(error))
+
+    def _drop(self, connection_id: int) -> None:
+        connection = self._connections.pop(connection_id, None)
+        if connection is not None:
+            connection.close()
+
+    async def _run_admin(
+        self,
+        action_id: int,
+        group: Group,
+        server: Server,
+        action: AdminAction,
+        timeout: timedelta,
+    ) -> None:
+        report = None
+        message = ""
+        try:
+            async with asyncio.timeout(timeout.total_seconds()):
+                report = await self._drive_admin(group, server, action)
+        except (
+            ConnectionBrokenError,
+            UpstreamError,
+            TimeoutError,
+            ValueError,
+        ) as error:
+            message = str(error) or type(error).__name__
+        self._handle_event(AdminFinished(action_id, report, message))
+
+    async def _drive_admin(
+        self, group: Group, server: Server, action: AdminAction
+    ) -> ServerReport:
+        address = f"{server.host}:{server.port}"
+        idle = self._idle_admin.setdefault(address, [])
+        connection = idle.pop() if idle else None
+        if connection is None:
+            connection = await UpstreamConnection.open(group, server)
+        try:
+            report = await _drive(script_admin(action), connection)
+        except BaseException:
+            connection.close()
+            raise
+        if len(idle) < MAX_IDLE_ADMIN_CONNECTIONS:
+            idle.append(connection)
+        else:
+            connection.close()
+        return report
+
+
+async def _drive(script: Any, connection: UpstreamConnection) -> Any:
+    """Run a script's statements on a connection and return its result."""
+    try:
+        sql = next(script)
+        while True:
+            try:
+                result = await connection.query(sql)
+            except UpstreamError as error:
+                sql = script.throw(error)
+            else:
+                sql = script.send(result)
+    except StopIteration as stop:
+        return stop.value
