--- a/Makefile
+++ b/Makefile
@@ -17,7 +17,7 @@
 	$(RUN) -m burdocksail demo
 
 test: $(STAMP)
-	$(RUN) -m unittest discover -s src -p '*_test.py' -t src
+	CI=true $(RUN) -m unittest discover -s src -p "*_test.py" -t src
 
 lint: $(STAMP)
 	$(VENV)/bin/ruff format --check .
--- a/src/burdocksail/node/_entry.py
+++ b/src/burdocksail/node/_entry.py
@@ -62,7 +62,7 @@
 RETRY_DELAY = seconds(0.05)
 ANSWER_GRACE = seconds(0.3)
 FORWARD_CANDIDATES = 5
-DEFAULT_DEADLINE = seconds(5)
+STOP_PATIENCE = seconds(5)
 
 _ENDING_KINDS = (StatementKind.COMMIT, StatementKind.ROLLBACK)
 
@@ -83,6 +83,11 @@
     """Answer a statement here or send it to the leader of its group."""
     session = board.entry.sessions[event.session_id]
     board.metrics.count("statements")
+    if _must_leave(board, session):
+        message = "the instance is stopping; connect again"
+        answer = Answer(Outcome.NOT_RUN, error=AnswerError.STOPPING, message=message)
+        _reply(board, session, event.request_id, answer)
+        return
     try:
         local = run_local_statement(board, session, event.sql)
         if local is not None:
@@ -198,6 +203,14 @@
             _answer_late(board, pending)
 
 
+def _must_leave(board: Blackboard, session: Session) -> bool:
+    """Return whether a session has to go to another instance by now."""
+    requested_at = board.stop.requested_at
+    if requested_at is None or session.transaction_group:
+        return False
+    return board.now - requested_at >= STOP_PATIENCE
+
+
 def _make_request(
     board: Blackboard, session: Session, event: StatementArrived
 ) -> Request | None:
--- a/src/burdocksail/shell/_callers.py
+++ b/src/burdocksail/shell/_callers.py
@@ -75,6 +75,7 @@
         self._statements = 0
         self._in_transaction = False
         self._autocommit = True
+        self.must_leave = False
 
     async def open(self, account: str, connection_id: int) -> None:
         """Register the session with the node."""
@@ -94,6 +95,7 @@
         reply = await future
         self._in_transaction = reply.in_transaction
         self._autocommit = reply.autocommit
+        self.must_leave = reply.answer.error is AnswerError.STOPPING
         return _unwrap_answer(reply.answer)
 
     async def close(self) -> None:
--- a/src/burdocksail/shell/_process.py
+++ b/src/burdocksail/shell/_process.py
@@ -32,7 +32,9 @@
 from burdocksail.shell._store_client import StoreClient
 from burdocksail.shell._upstreams import UpstreamPool
 
-STOP_GRACE_S = 0.5
+CALLERS_LEAVE_WITHIN_S = 8.0
+QUIET_BEFORE_CLOSE_S = 1.0
+STOP_POLL_S = 0.05
 
 
 @dataclass(frozen=True, slots=True)
@@ -122,14 +124,21 @@
     def request_stop(self) -> None:
         """Begin a graceful stop."""
         self._log.info("stop_requested")
+        self._sql.stop_listening()
         self.handle_event(StopRequested())
 
     async def wait_until_stopped(self) -> None:
-        """Return once the node holds nothing and callers are gone."""
+        """Return once the node holds nothing and callers are gone.
+
+        Callers that go on sending are served by way of other instances until
+        the node begins to tell them to connect elsewhere.
+        """
         await self._stopped.wait()
-        self._sql.stop_listening()
-        self._sql.close_idle_connections(lambda session: False)
-        await asyncio.sleep(STOP_GRACE_S)
+        loop = asyncio.get_running_loop()
+        end = loop.time() + CALLERS_LEAVE_WITHIN_S
+        while self._sql.connections and loop.time() < end:
+            self._sql.close_idle_connections(QUIET_BEFORE_CLOSE_S)
+            await asyncio.sleep(STOP_POLL_S)
         await self.close()
         self._log.info("stopped")
 
@@ -191,13 +200,6 @@
         while True:
             await asyncio.sleep(TICK_INTERVAL.total_seconds())
             self.handle_event(Tick())
-            board = self.node.board
-            if board.stop.requested_at is not None:
-                # Between two requests a caller loses nothing; the balancer
-                # sends its next connection elsewhere.
-                self._sql.close_idle_connections(
-                    lambda session: session.is_in_transaction()
-                )
 
     def _spawn(self, coroutine: object) -> None:
         task = asyncio.get_running_loop().create_task(coroutine)
--- a/src/burdocksail/shell/_sql_server.py
+++ b/src/burdocksail/shell/_sql_server.py
@@ -68,6 +68,9 @@
     async def close(self) -> None:
         """End after the client has gone."""
 
+    # Whether the connection shall be closed after the present answer.
+    must_leave = False
+
     def is_in_transaction(self) -> bool:
         """Return whether a transaction is open, for the status flags."""
         return False
@@ -115,10 +118,18 @@
         if self._server is not None:
             self._server.close()
 
-    def close_idle_connections(self, busy: Callable[[SqlSession], bool]) -> None:
-        """Close the connections that are between two requests."""
+    def close_idle_connections(self, idle_for_s: float) -> None:
+        """Close the connections that have been quiet for a while.
+
+        Those with an open transaction stay. The protocol has no way to ask a
+        client to leave, so a busy one is never closed here.
+        """
+        now = asyncio.get_running_loop().time()
         for connection in list(self.connections.values()):
-            if not connection.is_running and not busy(connection.adapter.sql_session):
+            session = connection.adapter.sql_session
+            if connection.is_running or session.is_in_transaction():
+                continue
+            if now - connection.quiet_since >= idle_for_s:
                 connection.stream.writer.close()
 
     async def _serve(
@@ -228,6 +239,7 @@
             raise MysqlError(error.message, error.code) from error
         finally:
             self.connection.is_running = False
+            self.connection.quiet_since = asyncio.get_running_loop().time()
         self.result = result
         if not result.columns:
             return None
@@ -247,7 +259,7 @@
         super().__init__(stream, adapter, control, identities)
         self.adapter = adapter
         self.is_running = False
-        self.is_authenticated = False
+        self.quiet_since = asyncio.get_running_loop().time()
 
     async def connection_phase(self) -> None:
         try:
@@ -270,6 +282,16 @@
             "COM_CHANGE_USER is not supported", ErrorCode.UNKNOWN_COM_ERROR
         )
 
+    def error(self, **kwargs: Any) -> bytes:
+        if self.adapter.sql_session.must_leave:
+            # Closing flushes the packet first, and runs before the client can
+            # have sent its next statement.
+            asyncio.get_running_loop().call_soon(self._close_after_flush)
+        return super().error(**kwargs)
+
+    def _close_after_flush(self) -> None:
+        self.stream.writer.close()
+
     def ok(self, **kwargs: Any) -> bytes:
         session = self.adapter.sql_session
         flags = types.ServerStatus(0)
--- a/src/burdocksail/standin/__init__.py
+++ b/src/burdocksail/standin/__init__.py
@@ -9,6 +9,7 @@
     measure_sleep,
 )
 from burdocksail.standin._driver import Driver, DriverSettings
+from burdocksail.standin._group_server import GroupServer, GroupServerSettings
 from burdocksail.standin._records import (
     GROUP_PASSWORD,
     GROUP_USER,
@@ -17,8 +18,18 @@
     make_team_record,
 )
 from burdocksail.standin._store_model import StoreModel, perform_watch
+from burdocksail.standin._store_server import StoreServer
+from burdocksail.standin._world import (
+    FAULT_KINDS,
+    FaultKind,
+    ObserverError,
+    World,
+    WorldSettings,
+    run_random_world,
+)
 
 __all__ = [
+    "FAULT_KINDS",
     "GROUP_PASSWORD",
     "GROUP_USER",
     "DatabaseGroup",
@@ -26,12 +37,20 @@
     "DatabaseSession",
     "Driver",
     "DriverSettings",
+    "FaultKind",
+    "GroupServer",
+    "GroupServerSettings",
     "LockWaitError",
+    "ObserverError",
     "StoreModel",
+    "StoreServer",
+    "World",
+    "WorldSettings",
     "find_wait",
     "make_group_record",
     "make_service_record",
     "make_team_record",
     "measure_sleep",
     "perform_watch",
+    "run_random_world",
 ]
--- /dev/null
+++ b/src/burdocksail/tools/__init__.py
@@ -0,0 +1,5 @@
+"""Command line and experiment tools."""
+
+from burdocksail.tools._main import main
+
+__all__ = ["main"]
--- /dev/null
+++ b/src/burdocksail/tools/_demo.py
@@ -0,0 +1,377 @@
+"""The demo: one process, real sockets, an ordinary MySQL client.
+
+It hosts the stand-in store, a database group and three instances on loopback,
+plays the main claims with PyMySQL in threads, and prints one table of what was
+claimed and what was seen.
+"""
+
+import asyncio
+import secrets
+import threading
+from collections.abc import Callable
+from contextlib import suppress
+from dataclasses import dataclass, field
+
+import pymysql
+import typer
+
+from burdocksail.core import Instance, SystemClock, seconds
+from burdocksail.node import PutObject
+from burdocksail.shell import InstanceProcess, InstanceSettings
+from burdocksail.standin import (
+    GroupServer,
+    GroupServerSettings,
+    StoreServer,
+    make_group_record,
+    make_service_record,
+    make_team_record,
+)
+from burdocksail.tools._errors import CommandError
+
+HOST = "127.0.0.1"
+DOMAINS = ("inari", "kajaani", "tampere")
+DATABASE = "booking"
+ACCOUNT = "desk"
+PASSWORD = "demo-password"
+LAG = seconds(0.05)
+START_LIMIT_S = 15.0
+WRITERS = 6
+LOAD_BEFORE_S = 1.0
+LOAD_AFTER_S = 5.0
+FAILOVER_GOAL_S = 8.0
+PLANNED_GAP_GOAL_S = 0.5
+SIGN_UP = "INSERT INTO signup (family) VALUES ('Aikio')"
+
+
+@dataclass(frozen=True, slots=True)
+class Claim:
+    """One claim with what was seen of it."""
+
+    text: str
+    seen: str
+    holds: bool
+
+
+@dataclass(slots=True)
+class DemoPlatform:
+    """Everything that the demo hosts."""
+
+    store: StoreServer = field(default_factory=StoreServer)
+    group: GroupServer = field(default_factory=lambda: GroupServer("booking", DOMAINS))
+    instances: list[InstanceProcess] = field(default_factory=list)
+
+    async def start(self) -> None:
+        """Start the stand-ins and instances and wait until callers can come."""
+        store_port = await self.store.start(HOST, 0)
+        servers = await self.group.start(HOST, [0, 0, 0], GroupServerSettings(lag=LAG))
+        self._write_records(
+            {
+                "team/lumilinna": make_team_record("lumilinna"),
+                "group/booking": make_group_record("booking", servers, 3, 20),
+                "service/booking": make_service_record(
+                    "booking", "lumilinna", {DATABASE: "booking"}, {ACCOUNT: PASSWORD}
+                ),
+            }
+        )
+        key = secrets.token_bytes(32)
+        seeds: tuple[Instance, ...] = ()
+        for index, domain in enumerate(DOMAINS):
+            settings = InstanceSettings(
+                name=f"instance-{index}",
+                failure_domain=domain,
+                host=HOST,
+                sql_port=0,
+                peer_port=0,
+                admin_port=0,
+                store_url=f"http://{HOST}:{store_port}",
+                shared_key=key,
+                seeds=seeds,
+            )
+            process = InstanceProcess(settings)
+            await process.start()
+            self.instances.append(process)
+            seeds = (*seeds, process.instance)
+        await self._wait_until_open()
+
+    def find_leader(self) -> InstanceProcess | None:
+        """Return the instance that leads the group."""
+        for process in self.instances:
+            groups = process.dump()["groups"]
+            if any(group["phase"] == "open" for group in groups.values()):
+                return process
+        return None
+
+    def find_primary(self) -> str:
+        """Return the name of the group's present primary."""
+        leader = self.find_leader()
+        return leader.dump()["groups"]["booking"]["primary"] if leader else ""
+
+    async def close(self) -> None:
+        """Close everything."""
+        for process in self.instances:
+            await process.close()
+        await self.group.close()
+        await self.store.close()
+
+    def _write_records(self, records: dict[str, str]) -> None:
+        for path, text in records.items():
+            self.store.model.perform(PutObject(f"records/{path}", text, 0))
+
+    async def _wait_until_open(self) -> None:
+        loop = asyncio.get_running_loop()
+        end = loop.time() + START_LIMIT_S
+        while loop.time() < end:
+            ready = all(process.is_ready() for process in self.instances)
+            if ready and self.find_leader() is not None:
+                return
+            await asyncio.sleep(0.05)
+        raise CommandError("the demo's instances did not start in time")
+
+
+class _Writers:
+    """Threads that write without pause and remember what they were told."""
+
+    def __init__(self, platform: DemoPlatform, table: str):
+        self._platform = platform
+        self._table = table
+        self._stop = threading.Event()
+        self._clock = SystemClock()
+        self._threads = [
+            threading.Thread(target=self._run, args=(index,), daemon=True)
+            for index in range(WRITERS)
+        ]
+        self.acknowledged: list[tuple[float, int]] = []
+        self.not_run: set[int] = set()
+        self.failures: list[str] = []
+
+    def start(self) -> None:
+        for thread in self._threads:
+            thread.start()
+
+    def stop(self) -> None:
+        self._stop.set()
+        for thread in self._threads:
+            thread.join()
+
+    def find_gap(self) -> float:
+        """Return the longest time without an acknowledged write, in seconds."""
+        times = sorted(moment for moment, _ in self.acknowledged)
+        gaps = [b - a for a, b in zip(times, times[1:], strict=False)]
+        return max(gaps, default=0.0)
+
+    def _run(self, index: int) -> None:
+        connection = None
+        value = index
+        while not self._stop.is_set():
+            try:
+                if connection is None:
+                    connection = self._connect()
+                with connection.cursor() as cursor:
+                    cursor.execute(f"INSERT INTO {self._table} (id) VALUES ({value})")
+                self.acknowledged.append((self._clock.now().total_seconds(), value))
+            except pymysql.MySQLError as error:
+                self._note_failure(value, error)
+                if connection is None or not connection.open:
+                    connection = None
+                elif not _is_alive(connection):
+                    connection = None
+            value += WRITERS
+
+    def _note_failure(self, value: int, error: pymysql.MySQLError) -> None:
+        text = str(error)
+        if "not run" in text:
+            self.not_run.add(value)
+        self.failures.append(text)
+
+    def _connect(self) -> pymysql.Connection:
+        ready = [p for p in self._platform.instances if p.is_ready()]
+        if not ready:
+            raise pymysql.OperationalError(2003, "no instance is ready")
+        process = ready[secrets.randbelow(len(ready))]
+        return connect(process)
+
+
+def connect(process: InstanceProcess) -> pymysql.Connection:
+    """Connect an ordinary client to an instance."""
+    return pymysql.connect(
+        host=HOST,
+        port=process.sql_port,
+        user=ACCOUNT,
+        password=PASSWORD,
+        database=DATABASE,
+        autocommit=True,
+        read_timeout=20,
+    )
+
+
+def _is_alive(connection: pymysql.Connection) -> bool:
+    with suppress(pymysql.MySQLError, OSError):
+        connection.ping(reconnect=False)
+        return True
+    return False
+
+
+def _query(connection: pymysql.Connection, sql: str) -> list[tuple]:
+    with connection.cursor() as cursor:
+        cursor.execute(sql)
+        return list(cursor.fetchall())
+
+
+def _play_sign_up(platform: DemoPlatform) -> Claim:
+    """One request through two instances at the same moment."""
+    first, second = (connect(process) for process in platform.instances[:2])
+    _query(first, "CREATE TABLE signup (id INTEGER PRIMARY KEY, family TEXT)")
+    outcomes = []
+
+    def sign_up(connection: pymysql.Connection) -> None:
+        _query(connection, "SET @burdocksail_request_key = 'aikio-2026-12'")
+        with connection.cursor() as cursor:
+            outcomes.append(cursor.execute(SIGN_UP))
+
+    threads = [threading.Thread(target=sign_up, args=(c,)) for c in (first, second)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    rows = _query(first, "SELECT count(*) FROM signup")[0][0]
+    text = "a signup sent twice through two instances is recorded once"
+    return Claim(text, f"{len(outcomes)} answers, {rows} row", rows == 1)
+
+
+def _play_roaming(platform: DemoPlatform) -> Claim:
+    """A write at one instance, read at another from a replica."""
+    before = _count_replica_reads(platform)
+    writer = connect(platform.instances[0])
+    reader = connect(platform.instances[2])
+    missed = 0
+    for number in range(20):
+        _query(writer, f"INSERT INTO signup (id, family) VALUES ({100 + number}, 'x')")
+        token = _query(writer, "SELECT @burdocksail_token")[0][0]
+        _query(reader, f"SET @burdocksail_token = '{token}'")
+        found = _query(reader, f"SELECT id FROM signup WHERE id = {100 + number}")
+        missed += not found
+    by_replica = _count_replica_reads(platform) - before
+    text = "a write on one instance is read on another, from a replica"
+    seen = f"20 written, {missed} missed, {by_replica} reads by replicas"
+    return Claim(text, seen, missed == 0 and by_replica >= 10)
+
+
+def _play_stated_age(platform: DemoPlatform) -> Claim:
+    connection = connect(platform.instances[1])
+    before = _count_replica_reads(platform)
+    _query(connection, "SET @burdocksail_max_age_ms = 2000")
+    for _ in range(20):
+        _query(connection, "SELECT count(*) FROM signup")
+    by_replica = _count_replica_reads(platform) - before
+    text = "reads of a stated age of 2 s are served by replicas"
+    return Claim(text, f"{by_replica} of 20 by replicas", by_replica >= 15)
+
+
+def _count_replica_reads(platform: DemoPlatform) -> int:
+    return sum(
+        process.dump()["counters"].get("reads_by_replica", 0)
+        for process in platform.instances
+    )
+
+
+async def _play_failover(platform: DemoPlatform) -> list[Claim]:
+    """The primary is cut off and replaced under load."""
+    writers = _Writers(platform, "failover")
+    await asyncio.to_thread(_create_table, platform, "failover")
+    writers.start()
+    await asyncio.sleep(LOAD_BEFORE_S)
+    old = platform.find_primary()
+    platform.group.cut_server(old)
+    await asyncio.sleep(LOAD_AFTER_S)
+    await asyncio.to_thread(writers.stop)
+    stored = await asyncio.to_thread(_read_ids, platform, "failover")
+    lost = sum(1 for _, value in writers.acknowledged if value not in stored)
+    false_refusals = len(writers.not_run & stored)
+    platform.group.heal_server(old)
+    new = platform.find_primary()
+    gap = writers.find_gap()
+    return [
+        Claim(
+            "a primary that is cut off under load is replaced",
+            f"{old} by {new}, gap {gap:.2f} s",
+            new != old and gap < FAILOVER_GOAL_S,
+        ),
+        Claim(
+            "every acknowledged write survives it",
+            f"{len(writers.acknowledged)} acknowledged, {lost} lost",
+            lost == 0 and len(writers.acknowledged) > 0,
+        ),
+        Claim(
+            "what was said not to have run did not run",
+            f"{len(writers.not_run)} said, {false_refusals} found",
+            false_refusals == 0,
+        ),
+    ]
+
+
+async def _play_stop(platform: DemoPlatform) -> Claim:
+    """The leader stops gracefully under load."""
+    writers = _Writers(platform, "stopping")
+    await asyncio.to_thread(_create_table, platform, "stopping")
+    writers.start()
+    await asyncio.sleep(LOAD_BEFORE_S)
+    leader = platform.find_leader()
+    assert leader is not None
+    leader.request_stop()
+    await leader.wait_until_stopped()
+    platform.instances.remove(leader)
+    await asyncio.sleep(LOAD_BEFORE_S)
+    await asyncio.to_thread(writers.stop)
+    # A caller that never pauses is told to connect elsewhere, which is a
+    # truthful "not run"; everything else would be a request that was cut.
+    cut = [f for f in writers.failures if "the instance is stopping" not in f]
+    stored = await asyncio.to_thread(_read_ids, platform, "stopping")
+    lost = sum(1 for _, value in writers.acknowledged if value not in stored)
+    text = "a graceful stop of the leader under load cuts nothing"
+    gap = writers.find_gap()
+    told = len(writers.failures) - len(cut)
+    seen = (
+        f"{len(writers.acknowledged)} writes, {len(cut)} cut, "
+        f"{told} told to move, gap {gap:.2f} s"
+    )
+    return Claim(text, seen, not cut and lost == 0)
+
+
+def _create_table(platform: DemoPlatform, name: str) -> None:
+    connection = connect(platform.instances[0])
+    _query(connection, f"CREATE TABLE {name} (id INTEGER PRIMARY KEY)")
+    connection.close()
+
+
+def _read_ids(platform: DemoPlatform, table: str) -> set[int]:
+    connection = connect(platform.instances[0])
+    _query(connection, "SET @burdocksail_read = 'primary'")
+    return {row[0] for row in _query(connection, f"SELECT id FROM {table}")}
+
+
+async def run_demo() -> bool:
+    """Play all claims, print the table, and return whether all hold."""
+    platform = DemoPlatform()
+    claims: list[Claim] = []
+    plays: list[Callable[[DemoPlatform], Claim]] = [
+        _play_sign_up,
+        _play_roaming,
+        _play_stated_age,
+    ]
+    try:
+        await platform.start()
+        for play in plays:
+            claims.append(await asyncio.to_thread(play, platform))
+        claims.extend(await _play_failover(platform))
+        claims.append(await _play_stop(platform))
+    finally:
+        await platform.close()
+    _print_claims(claims)
+    return all(claim.holds for claim in claims)
+
+
+def _print_claims(claims: list[Claim]) -> None:
+    width = max(len(claim.text) for claim in claims)
+    for claim in claims:
+        verdict = "holds" if claim.holds else "FAILS"
+        typer.echo(f"{verdict}  {claim.text:{width}}  {claim.seen}")
--- /dev/null
+++ b/src/burdocksail/tools/_fetch.py
@@ -0,0 +1,28 @@
+"""Reading JSON over HTTP."""
+
+from typing import Any
+
+import aiohttp
+
+from burdocksail.tools._errors import CommandError
+
+TIMEOUT_S = 5
+
+
+async def fetch_json(url: str) -> Any:
+    """Return the JSON value at a URL.
+
+    Raises
+    ------
+    CommandError
+        If there is none.
+    """
+    timeout = aiohttp.ClientTimeout(total=TIMEOUT_S)
+    try:
+        async with (
+            aiohttp.ClientSession(timeout=timeout) as session,
+            session.get(url) as response,
+        ):
+            return await response.json()
+    except (aiohttp.ClientError, TimeoutError, ValueError) as error:
+        raise CommandError(f"{url}: {error or type(error).__name__}") from error
--- /dev/null
+++ b/src/burdocksail/tools/_main.py
@@ -0,0 +1,249 @@
+"""The ``burdocksail`` command.
+
+Every flag has an environment variable, ``BURDOCKSAIL_`` and the flag's name. A
+wrong setting is told in one line that names the flag, with exit status 2.
+"""
+
+import asyncio
+import json
+import signal
+import sys
+from collections.abc import Coroutine
+from pathlib import Path
+from typing import Annotated, Any
+
+import click
+import typer
+
+from burdocksail.core import BurdocksailError, seconds
+from burdocksail.shell import InstanceProcess, InstanceSettings, configure_logging
+from burdocksail.standin import GroupServer, GroupServerSettings, StoreServer
+from burdocksail.tools._demo import run_demo
+from burdocksail.tools._errors import CommandError, SettingError
+from burdocksail.tools._fetch import fetch_json
+from burdocksail.tools._load import LoadSettings, run_load
+from burdocksail.tools._records import apply_record, check_record, list_records
+from burdocksail.tools._settings import (
+    check_host,
+    check_port,
+    check_url,
+    parse_seeds,
+    read_key,
+)
+
+EXIT_FAILURE = 1
+EXIT_USAGE = 2
+ENVIRONMENT_PREFIX = "BURDOCKSAIL"
+
+app = typer.Typer(
+    add_completion=False,
+    no_args_is_help=True,
+    pretty_exceptions_enable=False,
+    rich_markup_mode=None,
+    help="A database proxy with session consistency.",
+)
+record_app = typer.Typer(no_args_is_help=True, help="Operators' records.")
+standin_app = typer.Typer(no_args_is_help=True, help="Stand-ins for the platform.")
+app.add_typer(record_app, name="record")
+app.add_typer(standin_app, name="standin")
+
+StoreUrl = Annotated[
+    str, typer.Option(help="Base URL of the platform's store, by IP address.")
+]
+Host = Annotated[str, typer.Option(help="IP address to listen on.")]
+
+
+@app.command()
+def serve(
+    name: Annotated[str, typer.Option(help="Name of the instance.")],
+    failure_domain: Annotated[str, typer.Option(help="Failure domain it runs in.")],
+    store_url: StoreUrl,
+    host: Host = "127.0.0.1",
+    sql_port: Annotated[int, typer.Option(help="Port for callers.")] = 3306,
+    peer_port: Annotated[int, typer.Option(help="Port for other instances.")] = 7306,
+    admin_port: Annotated[int, typer.Option(help="Port for operators.")] = 8306,
+    shared_key: Annotated[str, typer.Option(help="Key of the platform.")] = "",
+    shared_key_file: Annotated[
+        Path | None, typer.Option(help="File that holds the key.")
+    ] = None,
+    seeds: Annotated[
+        str, typer.Option(help="Instances as name@domain=host:port, by commas.")
+    ] = "",
+    log_level: Annotated[
+        str, typer.Option(help="debug, info, warning, error.")
+    ] = "info",
+) -> None:
+    """Run an instance until it is told to stop (SIGTERM)."""
+    settings = InstanceSettings(
+        name=name,
+        failure_domain=failure_domain,
+        host=check_host("--host", host),
+        sql_port=check_port("--sql-port", sql_port),
+        peer_port=check_port("--peer-port", peer_port),
+        admin_port=check_port("--admin-port", admin_port),
+        store_url=check_url("--store-url", store_url),
+        shared_key=read_key("--shared-key", shared_key, shared_key_file),
+        seeds=parse_seeds("--seeds", seeds),
+    )
+    if log_level not in ("debug", "info", "warning", "error"):
+        raise SettingError("--log-level", f"{log_level!r} is not a level")
+    configure_logging(name, failure_domain, log_level)
+    asyncio.run(_serve(settings))
+
+
+@app.command()
+def dump(address: Annotated[str, typer.Argument(help="host:admin-port")]) -> None:
+    """Print the live state of an instance as JSON."""
+    state = asyncio.run(fetch_json(f"http://{address}/dump"))
+    typer.echo(json.dumps(state, indent=2))
+
+
+@app.command()
+def demo() -> None:
+    """Play the main claims on stand-ins in this process."""
+    configure_logging("demo", "local", "error")
+    if not asyncio.run(run_demo()):
+        raise typer.Exit(EXIT_FAILURE)
+
+
+@app.command()
+def load(
+    addresses: Annotated[str, typer.Option(help="host:port of instances, by commas.")],
+    account: Annotated[str, typer.Option(help="Account of the callers.")],
+    password: Annotated[str, typer.Option(help="Password of the account.")],
+    database: Annotated[str, typer.Option(help="Database to use.")],
+    connections: Annotated[int, typer.Option(help="Callers at once.")] = 16,
+    duration_s: Annotated[float, typer.Option(help="Length in seconds.")] = 10.0,
+    write_share: Annotated[float, typer.Option(help="Share of writes, 0 to 1.")] = 0.2,
+) -> None:
+    """Load instances with short statements and print a latency table."""
+    if connections < 1:
+        raise SettingError("--connections", "needs at least one")
+    if not 0 <= write_share <= 1:
+        raise SettingError("--write-share", "is a share from 0 to 1")
+    settings = LoadSettings(
+        tuple(addresses.split(",")),
+        account,
+        password,
+        database,
+        connections,
+        duration_s,
+        write_share,
+    )
+    asyncio.run(run_load(settings))
+
+
+@record_app.command("check")
+def record_check(path: Annotated[Path, typer.Argument(help="JSON file.")]) -> None:
+    """Check a record's fields without the store."""
+    typer.echo(check_record(_read_text(path)))
+
+
+@record_app.command("apply")
+def record_apply(
+    path: Annotated[Path, typer.Argument(help="JSON file.")],
+    store_url: StoreUrl,
+    expected_version: Annotated[
+        int, typer.Option(help="Version that was read; -1 for the present one.")
+    ] = -1,
+    wait_s: Annotated[float, typer.Option(help="Wait for the verdict.")] = 10.0,
+) -> None:
+    """Write a record and wait until it is accepted or refused."""
+    check_url("--store-url", store_url)
+    text = _read_text(path)
+    typer.echo(asyncio.run(apply_record(store_url, text, expected_version, wait_s)))
+
+
+@record_app.command("list")
+def record_list(store_url: StoreUrl) -> None:
+    """List the records with their versions and verdicts."""
+    check_url("--store-url", store_url)
+    for line in asyncio.run(list_records(store_url)):
+        typer.echo(line)
+
+
+@standin_app.command("store")
+def standin_store(
+    host: Host = "127.0.0.1",
+    port: Annotated[int, typer.Option(help="Port for HTTP.")] = 8500,
+) -> None:
+    """Run a stand-in of the platform's store."""
+    check_host("--host", host)
+
+    async def start() -> None:
+        port_used = await StoreServer().start(host, check_port("--port", port))
+        typer.echo(f"store on {host}:{port_used}")
+
+    asyncio.run(_run_until_signal(start()))
+
+
+@standin_app.command("group")
+def standin_group(
+    name: Annotated[str, typer.Option(help="Name of the group.")],
+    host: Host = "127.0.0.1",
+    first_port: Annotated[int, typer.Option(help="Port of the first server.")] = 33060,
+    domains: Annotated[
+        str, typer.Option(help="Failure domain of each server, by commas.")
+    ] = "a,b,c",
+    lag_ms: Annotated[int, typer.Option(help="Replication lag.")] = 50,
+    slots: Annotated[int, typer.Option(help="Statements at once.")] = 3,
+    connections: Annotated[int, typer.Option(help="Connection limit.")] = 20,
+) -> None:
+    """Run a stand-in database group."""
+    check_host("--host", host)
+    names = tuple(domains.split(","))
+    ports = [check_port("--first-port", first_port + i) for i in range(len(names))]
+    settings = GroupServerSettings(seconds(lag_ms / 1000), slots, connections)
+
+    async def start() -> None:
+        for server in await GroupServer(name, names).start(host, ports, settings):
+            typer.echo(f"{server.name} on {server.host}:{server.port}")
+
+    asyncio.run(_run_until_signal(start()))
+
+
+def main() -> None:
+    """Run the command line and end the process with its status."""
+    try:
+        app(standalone_mode=False, auto_envvar_prefix=ENVIRONMENT_PREFIX)
+    except click.exceptions.Exit as stop:
+        sys.exit(stop.exit_code)
+    except click.Abort:
+        sys.exit(EXIT_FAILURE)
+    except (click.UsageError, SettingError) as error:
+        typer.echo(f"error: {_describe_usage_error(error)}", err=True)
+        sys.exit(EXIT_USAGE)
+    except (CommandError, BurdocksailError, OSError) as error:
+        typer.echo(f"error: {error}", err=True)
+        sys.exit(EXIT_FAILURE)
+
+
+def _describe_usage_error(error: Exception) -> str:
+    if isinstance(error, click.UsageError):
+        return " ".join(error.format_message().split())
+    return str(error)
+
+
+def _read_text(path: Path) -> str:
+    try:
+        return path.read_text()
+    except (OSError, UnicodeDecodeError) as error:
+        raise CommandError(f"{path}: {error}") from error
+
+
+async def _serve(settings: InstanceSettings) -> None:
+    process = InstanceProcess(settings)
+    await process.start()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, process.request_stop)
+    await process.wait_until_stopped()
+
+
+async def _run_until_signal(start: Coroutine[Any, Any, None]) -> None:
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    await start
+    await stop.wait()
