--- a/src/burdocksail/core/_requests.py
+++ b/src/burdocksail/core/_requests.py
@@ -171,6 +171,9 @@
     repeated : bool
         Whether `result` is the recorded result of an earlier run under the
         same request key.
+    age : timedelta or None
+        Greatest possible age of the data when the leader sent the answer; None
+        if no age was asked for.
     """
 
     outcome: Outcome
@@ -181,3 +184,4 @@
     position: LogPosition | None = None
     server: str = ""
     repeated: bool = False
+    age: timedelta | None = None
--- a/src/burdocksail/node/_board.py
+++ b/src/burdocksail/node/_board.py
@@ -145,7 +145,7 @@
 
 
 class Role(Enum):
-    """This instance's part in the leadership of a group."""
+    """Part of this instance in the leadership of a group."""
 
     FOLLOWER = "follower"
     READING_STATUS = "reading_status"
@@ -371,7 +371,6 @@
     connection_id: int
     last_used: timedelta
     busy: bool = False
-    abandoned: bool = False
 
 
 class PromotionStep(Enum):
@@ -528,6 +527,8 @@
     ----------
     forwarded_to : Instance or None
         Instance that may be running it.
+    sent_at : timedelta
+        When the present attempt was sent.
     maybe_run : bool
         Whether any instance may have run it.
     follow_up : Request or None
@@ -538,6 +539,7 @@
     session_id: str
     deadline: timedelta
     forwarded_to: Instance | None = None
+    sent_at: timedelta = timedelta()
     maybe_run: bool = False
     attempts: int = 0
     retry_at: timedelta | None = None
--- a/src/burdocksail/node/_entry.py
+++ b/src/burdocksail/node/_entry.py
@@ -351,6 +351,7 @@
         _retry_later(board, pending)
         return
     pending.forwarded_to = target
+    pending.sent_at = board.now
     request = replace(request, time_left=time_left)
     if target.key != board.me.key:
         board.metrics.count("requests_forwarded")
@@ -423,12 +424,29 @@
             pending.attempts += 1
             _retry_later(board, pending)
             return
+    if _is_too_old(board, pending, answer):
+        board.metrics.count("answers_too_old")
+        pending.request = replace(request, freshness=Freshness.PRIMARY, max_age=None)
+        pending.forwarded_to = None
+        _retry_later(board, pending)
+        return
     if answer.outcome is Outcome.NOT_RUN and pending.maybe_run:
         # An earlier attempt may have run, whatever became of this one.
         answer = replace(answer, outcome=Outcome.UNKNOWN)
     _finish(board, pending, answer)
 
 
+def _is_too_old(board: Blackboard, pending: PendingRequest, answer: Answer) -> bool:
+    """Return whether data aged past its limit while the answer was on its way.
+
+    The leader measured the age after it got the request, so the time since the
+    request was sent is an upper bound of what has to be added.
+    """
+    if answer.age is None or pending.request.max_age is None:
+        return False
+    return answer.age + board.now - pending.sent_at > pending.request.max_age
+
+
 def _may_repeat(request: Request) -> bool:
     if request.in_transaction or request.kind is StatementKind.BEGIN:
         return False
--- a/src/burdocksail/node/_node.py
+++ b/src/burdocksail/node/_node.py
@@ -262,6 +262,7 @@
         return
     _work.release_progress(board, runtime)
     _transactions.roll_back_idle(board, runtime)
+    _work.close_stuck_connections(board, runtime)
     for state in runtime.servers.values():
         _admission.reclassify_overrunning(board, runtime, state)
         _connections.close_spare_connections(board, state, group)
--- a/src/burdocksail/node/_promotion.py
+++ b/src/burdocksail/node/_promotion.py
@@ -74,10 +74,11 @@
         elif event.report.term > promotion.term:
             _restart(board, runtime)
             return
-    if purpose == "promote" and event.report is not None:
-        if event.report.writable and event.report.term == promotion.term:
-            _open_group(board, runtime, state, promotion.term)
-            return
+    report = event.report
+    promoted = report is not None and report.writable
+    if purpose == "promote" and promoted and report.term == promotion.term:
+        _open_group(board, runtime, state, promotion.term)
+        return
     advance_group(board, runtime)
 
 
@@ -110,10 +111,10 @@
     if runtime is None or runtime.promotion is None:
         return
     promotion = runtime.promotion
-    if promotion.step is PromotionStep.CONFIRMING:
-        if message.server == runtime.primary or not runtime.primary:
-            promotion.reachable_by[sender.key] = message.reachable
-            advance_group(board, runtime)
+    asked = not runtime.primary or message.server == runtime.primary
+    if promotion.step is PromotionStep.CONFIRMING and asked:
+        promotion.reachable_by[sender.key] = message.reachable
+        advance_group(board, runtime)
 
 
 def _open_or_promote(board: Blackboard, runtime: GroupRuntime, group: Group) -> None:
--- a/src/burdocksail/node/_transactions.py
+++ b/src/burdocksail/node/_transactions.py
@@ -13,7 +13,7 @@
     StatementKind,
     seconds,
 )
-from burdocksail.node import _outcomes
+from burdocksail.node import _connections, _outcomes
 from burdocksail.node._board import (
     Blackboard,
     ConnectionUse,
@@ -111,8 +111,6 @@
     transaction.last_used = board.now
     if kind in _ENDING_KINDS:
         del runtime.transactions[transaction.session_id]
-    elif transaction.abandoned:
-        _roll_back(board, runtime, transaction)
 
 
 def abandon_session(board: Blackboard, group: str, session_id: str) -> None:
@@ -169,10 +167,16 @@
 def _abandon(
     board: Blackboard, runtime: GroupRuntime, transaction: Transaction
 ) -> None:
-    if transaction.busy:
-        transaction.abandoned = True
-    else:
+    if not transaction.busy:
         _roll_back(board, runtime, transaction)
+        return
+    # Its last statement may never return; the server rolls back what a closed
+    # connection leaves open.
+    del runtime.transactions[transaction.session_id]
+    state = runtime.servers[transaction.server]
+    connection = state.connections.get(transaction.connection_id)
+    if connection is not None:
+        _connections.close_connection(board, state, connection)
 
 
 def _roll_back(
--- a/src/burdocksail/node/_work.py
+++ b/src/burdocksail/node/_work.py
@@ -46,6 +46,8 @@
 from burdocksail.records import Group
 
 MAX_ATTEMPTS = 4
+# As long as the longest deadline that a record may state.
+STUCK_AFTER = seconds(3600)
 RETRY_TOKENS_PER_REQUEST = 0.1
 MAX_RETRY_TOKENS = 20.0
 # MySQL error codes that say the server cannot run a statement at present, and
@@ -285,6 +287,24 @@
     requeue_work(board, runtime, state)
 
 
+def close_stuck_connections(board: Blackboard, runtime: GroupRuntime) -> None:
+    """Close connections whose operation should have ended long ago."""
+    for operation in list(board.work.operations.values()):
+        if operation.group != runtime.group:
+            continue
+        if board.now - operation.started_at < STUCK_AFTER:
+            continue
+        state = runtime.servers[operation.server]
+        connection = state.connections.get(operation.connection_id)
+        if connection is not None:
+            _connections.close_connection(board, state, connection)
+        board.metrics.count("operations_stuck")
+        lost = OperationResult(OperationStatus.LOST, message="no answer")
+        handle_operation_finished(
+            board, OperationFinished(operation.operation_id, lost)
+        )
+
+
 def hedge_late_reads(board: Blackboard, runtime: GroupRuntime) -> None:
     """Run late reads on a second replica as well, within a budget."""
     group = board.configuration.groups.get(runtime.group)
@@ -336,9 +356,10 @@
     primary = _routing.find_primary(runtime)
     if primary is None or not primary.reachable:
         return None
-    if work.request.kind is StatementKind.BEGIN:
-        if len(runtime.transactions) >= _connections.limit_transactions(group):
-            return None
+    is_begin = work.request.kind is StatementKind.BEGIN
+    limit = _connections.limit_transactions(group)
+    if is_begin and len(runtime.transactions) >= limit:
+        return None
     return primary
 
 
@@ -418,6 +439,7 @@
     result: OperationResult,
 ) -> None:
     request = work.request
+    age = None
     if request.freshness is Freshness.STATED_AGE:
         # The rows are at least as new as what the server was known to have
         # applied when the read began; the age counts until the answer leaves.
@@ -433,7 +455,7 @@
         board.metrics.count("reads_by_replica")
     else:
         board.metrics.count("reads_by_primary")
-    answer = Answer(Outcome.ANSWERED, result.result, server=state.name)
+    answer = Answer(Outcome.ANSWERED, result.result, server=state.name, age=age)
     _outcomes.answer_work(board, runtime, work, answer)
 
 
@@ -456,8 +478,9 @@
         work.sent = work.lost_before
         runtime.parked.append(work)
         return
+    # An earlier attempt whose result was lost may have run all the same.
     answer = Answer(
-        Outcome.NOT_RUN,
+        Outcome.UNKNOWN if work.lost_before else Outcome.NOT_RUN,
         error=AnswerError.UPSTREAM_ERROR,
         error_code=result.error_code,
         message=result.message,
--- a/src/burdocksail/standin/_database.py
+++ b/src/burdocksail/standin/_database.py
@@ -201,6 +201,7 @@
     def __init__(self, servers: list[DatabaseServer], lag: timedelta):
         self.servers = servers
         self.lag = lag
+        self.extra_lag: dict[str, timedelta] = {}
         self.cut_servers: set[str] = set()
         primary = servers[0]
         for server in servers:
@@ -224,20 +225,22 @@
         return None
 
     def _may_replicate(self, server: DatabaseServer, source: DatabaseServer) -> bool:
+        # A fenced source still ships what it committed before the fence.
         linked = not self.cut_servers & {server.name, source.name}
-        return linked and source.writable and source.term == server.term
+        return linked and server.term <= source.term
 
     def _copy(
         self, server: DatabaseServer, source: DatabaseServer, now: timedelta
     ) -> None:
         if server.lock_owner is not None:
             return
+        lag = self.lag + self.extra_lag.get(server.name, timedelta())
         if _is_errant(server, source):
             # The group's servers repair themselves by a clone of the source.
-            server.rebuild([e for e in source.log if e.committed_at + self.lag <= now])
+            server.rebuild([e for e in source.log if e.committed_at + lag <= now])
             return
         for entry in source.log[len(server.log) :]:
-            if entry.committed_at + self.lag > now:
+            if entry.committed_at + lag > now:
                 return
             server.apply(entry)
 
--- a/src/burdocksail/standin/_driver.py
+++ b/src/burdocksail/standin/_driver.py
@@ -68,6 +68,8 @@
 REPLICATION_STEP = seconds(0.005)
 WATCH_POLL = seconds(0.05)
 STORE_NAME = "store"
+RETRANSMIT_INTERVAL = seconds(0.1)
+PEER_TIMEOUT = seconds(2)
 
 AnswerCallback = Callable[[Answer, str], None]
 
@@ -357,16 +359,20 @@
             callback(effect.answer, effect.token)
 
     def _send(self, source: DriverNode, effect: Send) -> None:
+        """Send as a transport does: again until it arrives or is given up."""
         sender = source.instance
         receiver = effect.receiver
-        if not self.is_linked(sender.name, receiver.name):
-            return
         delay = self.measure_delay(sender.failure_domain, receiver.failure_domain)
+        limit = self.now + PEER_TIMEOUT
 
         def arrive() -> None:
-            target = self.nodes.get(receiver.name)
             if not self.is_linked(sender.name, receiver.name):
+                if self.now < limit:
+                    self.schedule(RETRANSMIT_INTERVAL, arrive)
+                else:
+                    self.deliver(source, PeerUnreachable(receiver))
                 return
+            target = self.nodes.get(receiver.name)
             if target is None or not target.alive:
                 self.schedule(delay, refuse)
                 return
@@ -387,7 +393,10 @@
         delay = self._measure_upstream(source, server)
 
         def connect() -> None:
-            if not connection.open or not self._reaches(source, server):
+            if not connection.open:
+                return
+            if not self._reaches(source, server):
+                self.schedule(RETRANSMIT_INTERVAL, connect)
                 return
             if not server.up:
                 del source.connections[effect.connection_id]
@@ -546,7 +555,10 @@
     def _arrive(self, sql: str) -> None:
         """The statement reaches the server, which finds a slot for it."""
         server = self.connection.server
-        if not self.connection.open or not self._is_linked_to():
+        if not self.connection.open:
+            return
+        if not self._is_linked_to():
+            self.driver.schedule(RETRANSMIT_INTERVAL, lambda: self._arrive(sql))
             return
         if not server.up:
             self._return_failure()
@@ -565,15 +577,20 @@
         else:
             free_at = self.driver.now
         limit = free_at + duration + LOCK_TIMEOUT
+        in_transaction = self.connection.session.in_transaction
         self.driver.schedule(
-            free_at + duration - self.driver.now, lambda: self._execute(sql, limit)
+            free_at + duration - self.driver.now,
+            lambda: self._execute(sql, limit, in_transaction),
         )
 
-    def _execute(self, sql: str, limit: timedelta) -> None:
+    def _execute(self, sql: str, limit: timedelta, in_transaction: bool) -> None:
         server = self.connection.server
         if not server.up:
             self._return_failure()
             return
+        if in_transaction and not self.connection.open:
+            # The transaction was rolled back with its connection.
+            return
         try:
             outcome: ResultSet | UpstreamError = server.database.execute(
                 self.connection.session, sql, self.driver.now
@@ -582,7 +599,9 @@
             if not self.connection.open:
                 return
             if self.driver.now < limit:
-                self.driver.schedule(LOCK_POLL, lambda: self._execute(sql, limit))
+                self.driver.schedule(
+                    LOCK_POLL, lambda: self._execute(sql, limit, in_transaction)
+                )
                 return
             outcome = UpstreamError(1205, "Lock wait timeout exceeded")
         except UpstreamError as error:
@@ -597,20 +616,21 @@
         self.driver.schedule(LOCK_POLL, lambda: self._await_vector(sql, wanted, limit))
 
     def _return(self, outcome: ResultSet | UpstreamError) -> None:
-        delay = self.driver._measure_upstream(self.source, self.connection.server)
-
-        def arrive() -> None:
-            if self.connection.open and self._is_linked_from():
-                self.advance(outcome)
-
-        self.driver.schedule(delay, arrive)
+        self._send_back(lambda: self.advance(outcome))
 
     def _return_failure(self) -> None:
+        self._send_back(lambda: self.finish(None))
+
+    def _send_back(self, arrived: Callable[[], None]) -> None:
         delay = self.driver._measure_upstream(self.source, self.connection.server)
 
         def arrive() -> None:
-            if self.connection.open and self._is_linked_from():
-                self.finish(None)
+            if not self.connection.open:
+                return
+            if self._is_linked_from():
+                arrived()
+            else:
+                self.driver.schedule(RETRANSMIT_INTERVAL, arrive)
 
         self.driver.schedule(delay, arrive)
 
--- a/src/burdocksail/standin/_store_server.py
+++ b/src/burdocksail/standin/_store_server.py
@@ -5,6 +5,7 @@
 
 from aiohttp import web
 
+from burdocksail.core import seconds
 from burdocksail.node import (
     GetObject,
     ListedInstance,
@@ -16,7 +17,6 @@
     StoreStatus,
     WatchObjects,
 )
-from burdocksail.core import seconds
 from burdocksail.standin._store_model import (
     MAX_VALUE_BYTES,
     StoreModel,
--- a/src/burdocksail/standin/_world.py
+++ b/src/burdocksail/standin/_world.py
@@ -96,6 +96,7 @@
     nodes: int = 6
     callers: int = 6
     lag: timedelta = seconds(0.05)
+    slow_replica_lag: timedelta = seconds(0.25)
     clock_drift: float = 0.01
     think_time: timedelta = seconds(0.05)
     keyed_share: float = 0.3
@@ -145,6 +146,8 @@
         """Start all parts and wait until the group is open."""
         driver = self.driver
         driver.add_group(GROUP)
+        group = driver.groups[GROUP]
+        group.extra_lag[group.servers[-1].name] = self.settings.slow_replica_lag
         self._put_record("team/lumilinna", make_team_record("lumilinna"))
         self._put_group_record()
         accounts = dict.fromkeys(ACCOUNTS, "password")
@@ -247,6 +250,7 @@
         """Compare what callers were told with what the primary holds."""
         self._require(self.wait_until_open(SETTLE_LIMIT), "the group is not open")
         primary = self.driver.servers[self.find_primary()].database
+        self._require(primary.lock_owner is None, "a transaction was left open")
         rows = primary.query("SELECT id, pair FROM entry")
         counts: dict[int, int] = {}
         for write_id, _ in rows:
@@ -287,7 +291,8 @@
             answered[0] = True
             done(Answer(Outcome.UNKNOWN, error=AnswerError.UPSTREAM_LOST))
 
-        if not node.alive:
+        known = caller.session in node.node.board.entry.sessions
+        if not node.alive or not (known or node.paused):
             self.driver.schedule(
                 seconds(0.01),
                 lambda: done(Answer(Outcome.UNKNOWN, error=AnswerError.NO_LEADER)),
@@ -487,7 +492,8 @@
             )
 
     def _unwrap(self, caller: Caller, answer: Answer, tag: str) -> int:
-        found_tag, value = answer.result.rows[0]
+        rows = answer.result.rows
+        found_tag, value = rows[0] if rows else (b"another request", b"")
         if found_tag != tag.encode():
             self.violations.append(f"{caller.name} got the answer of {found_tag!r}")
         self.tally.reads += 1
@@ -666,6 +672,24 @@
     return name
 
 
+def _cut_answers(world: World) -> str:
+    """The primary hears the leader, and its answers are lost."""
+    name = world.find_primary()
+    leader = world.find_leader()
+    if name and leader:
+        world.driver.cut(name, leader, one_way=True)
+    return name
+
+
+def _deafen(world: World) -> str:
+    """Cut one direction: a node is heard and does not hear."""
+    name = _pick_leader_or_node(world)
+    if name:
+        for other in _everything(world, name):
+            world.driver.cut(other, name, one_way=True)
+    return name
+
+
 def _crash_server(world: World) -> str:
     names = sorted(world.driver.servers)
     primary = world.find_primary()
@@ -743,6 +767,8 @@
     FaultKind("cut_domain", _cut_domain, _uncut),
     FaultKind("cut_primary", _cut_primary, _uncut),
     FaultKind("cut_primary_from_leader", _cut_primary_from_leader, _uncut),
+    FaultKind("cut_answers", _cut_answers, _uncut),
+    FaultKind("deafen", _deafen, _uncut),
     FaultKind("crash_server", _crash_server, _raise_server),
     FaultKind("store_down", _store_down, _store_well),
     FaultKind("store_slow", _store_slow, _store_well),
--- /dev/null
+++ b/src/burdocksail/standin/scenarios_test.py
@@ -0,0 +1,273 @@
+"""Scenarios in virtual time, one for each failure that matters on its own."""
+
+import json
+import unittest
+
+from burdocksail.core import Outcome, seconds
+from burdocksail.node import PutObject, StatementOptions
+from burdocksail.standin import FAULT_KINDS, World, WorldSettings
+
+KINDS = {kind.name: kind for kind in FAULT_KINDS}
+GROUP = "booking"
+PLANNED_GAP = seconds(0.5)
+FAILOVER_GAP = seconds(8)
+FAILOVER_GAP_WITH_LEADER = seconds(12)
+CONFIGURATION_DELAY = seconds(5)
+LEAVING_DELAY = seconds(2)
+
+
+def start_world(seed=1, **settings):
+    world = World(seed, WorldSettings(**settings))
+    world.start()
+    world.run_for(seconds(3))
+    return world
+
+
+def find_longest_gap(world, since):
+    """Return the longest time without an acknowledged write."""
+    told = sorted(
+        write.told_at
+        for write in world.writes.values()
+        if write.outcome is Outcome.ANSWERED and write.told_at >= since
+    )
+    return max(b - a for a, b in zip(told, told[1:], strict=False))
+
+
+def finish(world):
+    world.settle()
+    world.check_now()
+    world.check_contents()
+
+
+def count_outcomes(world):
+    return {outcome: n for outcome, n in world.tally.outcomes.items() if n}
+
+
+def read_status(world, path):
+    stored = world.driver.store.objects.get(f"status/{path}")
+    return json.loads(stored.value) if stored else {}
+
+
+def write_record(world, path, text):
+    world._put_record(path, text)
+
+
+class PlannedChangeTest(unittest.TestCase):
+    def test_planned_change_of_primary_refuses_nothing(self):
+        world = start_world()
+        old = world.find_primary()
+        since = world.driver.now
+        world.start_fault(KINDS["plan_primary"])
+        world.run_for(seconds(6))
+        self.assertNotEqual(world.find_primary(), old)
+        self.assertLess(find_longest_gap(world, since), PLANNED_GAP)
+        self.assertEqual(set(count_outcomes(world)), {"answered"})
+        finish(world)
+
+    def test_planned_stop_of_the_leader_cuts_nothing(self):
+        world = start_world()
+        leader = world.find_leader()
+        since = world.driver.now
+        for caller in world.callers:
+            if caller.node == leader:
+                world._roam(caller)
+        world.driver.stop_node(leader)
+        world.run_for(seconds(8))
+        self.assertTrue(world.driver.nodes[leader].stopped)
+        self.assertLess(find_longest_gap(world, since), PLANNED_GAP)
+        self.assertLessEqual(set(count_outcomes(world)), {"answered", "not_run"})
+        finish(world)
+
+    def test_restart_of_every_node_in_turn_loses_nothing(self):
+        world = start_world()
+        for name in list(world.driver.nodes):
+            world.driver.stop_node(name)
+            world.run_for(seconds(7))
+            node = world.driver.nodes[name]
+            self.assertTrue(node.stopped, f"{name} did not stop")
+            world.driver.restart_node(name)
+            world.run_for(seconds(2))
+        finish(world)
+
+
+class FailoverTest(unittest.TestCase):
+    def check_failover(self, fault, limit):
+        world = start_world()
+        old = world.find_primary()
+        since = world.driver.now
+        for name in fault:
+            world.start_fault(KINDS[name])
+        world.run_for(seconds(14))
+        self.assertLess(find_longest_gap(world, since), limit)
+        finish(world)
+        return old
+
+    def test_primary_cut_off(self):
+        self.check_failover(["cut_primary"], FAILOVER_GAP)
+
+    def test_primary_cut_off_during_a_store_outage(self):
+        self.check_failover(["store_down", "cut_primary"], FAILOVER_GAP)
+
+    def test_leader_and_primary_lost_together(self):
+        world = start_world()
+        since = world.driver.now
+        leader, primary = world.find_leader(), world.find_primary()
+        world.driver.crash_node(leader)
+        world.driver.servers[primary].up = False
+        world.run_for(seconds(14))
+        self.assertNotIn(world.find_leader(), (None, leader))
+        self.assertLess(find_longest_gap(world, since), FAILOVER_GAP_WITH_LEADER)
+        finish(world)
+
+    def test_failure_domain_lost(self):
+        self.check_failover(["cut_domain"], FAILOVER_GAP_WITH_LEADER)
+
+    def test_a_paused_leader_does_not_acknowledge_after_it_wakes(self):
+        world = start_world()
+        leader = world.find_leader()
+        world.driver.pause_node(leader, seconds(8))
+        world.run_for(seconds(20))
+        finish(world)
+
+
+class StoreOutageTest(unittest.TestCase):
+    def test_writes_go_on_through_an_outage(self):
+        world = start_world(callers=2, think_time=seconds(1))
+        world.driver.store_faults.down = True
+        since = world.driver.now
+        world.run_for(seconds(300))
+        self.assertLess(find_longest_gap(world, since), seconds(10))
+        self.assertEqual(set(count_outcomes(world)), {"answered"})
+        finish(world)
+
+    def test_an_instance_that_starts_in_an_outage_learns_from_peers(self):
+        world = start_world()
+        world.driver.store_faults.down = True
+        name = next(n for n in world.driver.nodes if n != world.find_leader())
+        world.driver.crash_node(name)
+        node = world.driver.restart_node(name).node
+        world.run_for(CONFIGURATION_DELAY)
+        self.assertIn(f"group/{GROUP}", node.dump()["configuration"]["generations"])
+        finish(world)
+
+    def test_leader_handed_over_in_an_outage(self):
+        world = start_world()
+        world.driver.store_faults.down = True
+        leader = world.find_leader()
+        since = world.driver.now
+        world.driver.stop_node(leader)
+        world.run_for(seconds(8))
+        self.assertNotIn(world.find_leader(), (None, leader))
+        self.assertLess(find_longest_gap(world, since), PLANNED_GAP)
+        finish(world)
+
+
+class ConfigurationTest(unittest.TestCase):
+    def test_an_accepted_change_is_in_force_everywhere_in_time(self):
+        world = start_world()
+        write_record(
+            world,
+            "team/extra",
+            '{"schema_version": 1, "kind": "team", "name": "extra", "owner": "x"}',
+        )
+        world.run_for(CONFIGURATION_DELAY)
+        for node in world.driver.nodes.values():
+            generations = node.node.dump()["configuration"]["generations"]
+            self.assertIn("team/extra", generations)
+
+    def test_a_bad_record_is_refused_and_the_last_accepted_stays(self):
+        world = start_world()
+        path = "service/booking"
+        before = world.driver.nodes["node-0"].node.dump()["configuration"]
+        current = json.loads(world.driver.store.objects[f"records/{path}"].value)
+        write_record(world, path, json.dumps({**current, "deadlin_ms": 1}))
+        world.run_for(CONFIGURATION_DELAY)
+        status = read_status(world, path)
+        self.assertEqual(status["state"], "refused")
+        self.assertIn("deadlin_ms", status["reason"])
+        after = world.driver.nodes["node-0"].node.dump()["configuration"]
+        self.assertEqual(before["generations"], after["generations"])
+        write_record(world, path, json.dumps({**current, "schema_version": 9}))
+        world.run_for(CONFIGURATION_DELAY)
+        self.assertIn("schema_version", read_status(world, path)["reason"])
+        finish(world)
+
+    def test_racing_operators_get_one_conflict_and_lose_nothing(self):
+        world = start_world()
+        key = "records/team/lumilinna"
+        current = world.driver.store.objects[key]
+        replies = [
+            world.driver.store.perform(PutObject(key, text, current.version))
+            for text in (current.value, current.value + " ")
+        ]
+        statuses = sorted(reply.status.value for reply in replies)
+        self.assertEqual(statuses, ["conflict", "ok"])
+
+    def test_configuration_never_reverts(self):
+        world = start_world()
+        seen = {}
+        for step in range(12):
+            world.start_fault(KINDS["race_operators"])
+            world.end_fault()
+            if step % 3 == 0:
+                world.start_fault(KINDS["store_loses"])
+            world.run_for(seconds(0.4))
+            for name, node in world.driver.nodes.items():
+                generations = node.node.dump()["configuration"]["generations"]
+                for path, generation in generations.items():
+                    last = seen.get((name, path), 0)
+                    self.assertGreaterEqual(generation, last)
+                    seen[name, path] = generation
+        finish(world)
+
+
+class LeavingServerTest(unittest.TestCase):
+    def test_a_leaving_server_gets_no_new_work(self):
+        world = start_world()
+        group = world.driver.groups[GROUP]
+        primary = world.find_primary()
+        leaving = next(s.name for s in group.servers if s.name != primary)
+        world._put_group_record(leaving=[leaving])
+        world.run_for(LEAVING_DELAY)
+        world.run_for(seconds(5))
+        leader = world.driver.nodes[world.find_leader()].node.board
+        running = leader.work.runtimes[GROUP].servers[leaving].running
+        self.assertEqual(running, {})
+        finish(world)
+
+    def test_a_leaving_primary_is_replaced(self):
+        world = start_world()
+        primary = world.find_primary()
+        world._put_group_record(leaving=[primary])
+        world.run_for(seconds(8))
+        self.assertNotEqual(world.find_primary(), primary)
+        self.assertEqual(set(count_outcomes(world)), {"answered"})
+        finish(world)
+
+
+class RequestKeyTest(unittest.TestCase):
+    def test_two_copies_through_two_instances_run_once(self):
+        world = start_world(callers=2)
+        answers = []
+        sql = "INSERT INTO entry VALUES (999999, 'twice', 1, 0)"
+        options = StatementOptions(request_key="once")
+        for name in ("node-1", "node-4"):
+            world.driver.open_session(name, f"twice-{name}", "desk-0")
+            world.driver.send_statement(
+                name,
+                f"twice-{name}",
+                "booking",
+                sql,
+                lambda answer, token: answers.append(answer),
+                options,
+            )
+        world.run_for(seconds(3))
+        self.assertEqual([a.outcome for a in answers], [Outcome.ANSWERED] * 2)
+        self.assertEqual(sorted(a.repeated for a in answers), [False, True])
+        primary = world.driver.servers[world.find_primary()].database
+        rows = primary.query("SELECT count(*) FROM entry WHERE id = 999999")
+        self.assertEqual(rows, [(1,)])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/src/burdocksail/tools/_demo.py
+++ b/src/burdocksail/tools/_demo.py
@@ -171,9 +171,11 @@
                 self.acknowledged.append((self._clock.now().total_seconds(), value))
             except pymysql.MySQLError as error:
                 self._note_failure(value, error)
-                if connection is None or not connection.open:
-                    connection = None
-                elif not _is_alive(connection):
+                if (
+                    connection is None
+                    or not connection.open
+                    or not _is_alive(connection)
+                ):
                     connection = None
             value += WRITERS
 
--- a/src/burdocksail/wire/peer.thrift
+++ b/src/burdocksail/wire/peer.thrift
@@ -27,7 +27,7 @@
 struct Answer {
   1: string outcome, 2: ResultSet result, 3: string error, 4: i32 error_code,
   5: string message, 6: optional LogPosition position, 7: string server,
-  8: bool repeated
+  8: bool repeated, 9: optional i64 age
 }
 
 struct ForwardRequest { 1: Request request }
