Keep transactions apart by their own identity, and mend routing and limits

Change: a transaction is known by the request id of its BEGIN; a connection that may hold an unknown transaction is closed; a leader uses half of a server's connections and closes them when its lease lapses; floors rise with the acknowledgement; a window that covers the round trip; the primary relieves replicas; waits are refused with a margin.

--- /dev/null
+++ b/benchmarks/throughput.py
@@ -0,0 +1,204 @@
+"""Compares statements through one instance with the same ones sent directly.
+
+Everything runs in this process's one event loop: client, instance and the
+stand-in server share one core, so "through" pays for one more hop of the same
+kind. Both sides are measured in turn, in one run.
+"""
+
+import asyncio
+import gc
+import json
+import resource
+from pathlib import Path
+
+import asyncmy
+import typer
+
+from burdocksail.core import SystemClock, seconds
+from burdocksail.node import PutObject, make_histogram, summarise_histogram
+from burdocksail.shell import InstanceProcess, InstanceSettings, configure_logging
+from burdocksail.standin import (
+    GROUP_PASSWORD,
+    GROUP_USER,
+    GroupServer,
+    GroupServerSettings,
+    StoreServer,
+    make_group_record,
+    make_service_record,
+    make_team_record,
+)
+
+HOST = "127.0.0.1"
+SQL = "SELECT n FROM stock WHERE id = 7"
+CONNECTIONS = (1, 32, 256)
+SLOTS = 64
+CONNECTION_LIMIT = 1000
+ROUND_S = 2.0
+ROUNDS = 3
+IDLE_CONNECTIONS = 3200
+
+
+class Platform:
+    """One instance before one stand-in group."""
+
+    def __init__(self) -> None:
+        self.store = StoreServer()
+        self.group = GroupServer("bench", ("a", "b"))
+        self.instance: InstanceProcess | None = None
+        self.direct_port = 0
+
+    async def start(self) -> None:
+        """Start everything and create a table."""
+        store_port = await self.store.start(HOST, 0)
+        settings = GroupServerSettings(
+            lag=seconds(0.005),
+            slots=SLOTS,
+            connections=CONNECTION_LIMIT,
+            connect_delay=seconds(0),
+        )
+        servers = await self.group.start(HOST, [0, 0], settings)
+        self.direct_port = servers[1].port
+        records = {
+            "team/bench": make_team_record("bench"),
+            "group/bench": make_group_record("bench", servers, SLOTS, CONNECTION_LIMIT),
+            "service/bench": make_service_record(
+                "bench", "bench", {"bench": "bench"}, {"desk": "password"}
+            ),
+        }
+        for path, text in records.items():
+            self.store.model.perform(PutObject(f"records/{path}", text, 0))
+        self.instance = InstanceProcess(
+            InstanceSettings(
+                "bench", "a", HOST, 0, 0, 0, f"http://{HOST}:{store_port}", b"k" * 16
+            )
+        )
+        await self.instance.start()
+        while not any(
+            group["phase"] == "open"
+            for group in self.instance.dump()["groups"].values()
+        ):
+            await asyncio.sleep(0.05)
+        connection = await self.connect_through()
+        cursor = connection.cursor()
+        await cursor.execute("CREATE TABLE stock (id INTEGER PRIMARY KEY, n INTEGER)")
+        await cursor.execute("INSERT INTO stock VALUES (7, 7)")
+        await asyncio.sleep(0.5)
+
+    async def connect_through(self) -> asyncmy.Connection:
+        """Connect a caller to the instance."""
+        return await asyncmy.connect(
+            host=HOST,
+            port=self.instance.sql_port,
+            user="desk",
+            password="password",
+            database="bench",
+            autocommit=None,
+        )
+
+    async def connect_direct(self) -> asyncmy.Connection:
+        """Connect to the stand-in server itself."""
+        return await asyncmy.connect(
+            host=HOST,
+            port=self.direct_port,
+            user=GROUP_USER,
+            password=GROUP_PASSWORD,
+            autocommit=None,
+        )
+
+
+async def run_round(connections: list[asyncmy.Connection]) -> dict[str, float]:
+    """Return statements/s and latency quantiles of one round."""
+    histogram = make_histogram()
+    clock = SystemClock()
+    end = clock.now() + seconds(ROUND_S)
+
+    async def run(connection: asyncmy.Connection) -> None:
+        cursor = connection.cursor()
+        while (started := clock.now()) < end:
+            await cursor.execute(SQL)
+            elapsed = (clock.now() - started).total_seconds()
+            histogram.record_value(max(1, round(elapsed * 1e6)))
+
+    await asyncio.gather(*(run(connection) for connection in connections))
+    summary = summarise_histogram(histogram)
+    summary["statements_per_s"] = summary["count"] / ROUND_S
+    return summary
+
+
+async def compare(platform: Platform, count: int) -> dict[str, float]:
+    """Measure both ways in turn and return the medians of the rounds."""
+    through = [await platform.connect_through() for _ in range(count)]
+    direct = [await platform.connect_direct() for _ in range(count)]
+    rounds = []
+    for _ in range(ROUNDS):
+        first = await run_round(through)
+        second = await run_round(direct)
+        rounds.append(
+            {
+                "ratio": first["statements_per_s"] / second["statements_per_s"],
+                "statements_per_s": first["statements_per_s"],
+                "direct_per_s": second["statements_per_s"],
+                "added_p50_ms": first["p50_ms"] - second["p50_ms"],
+                "added_p99_ms": first["p99_ms"] - second["p99_ms"],
+            }
+        )
+    for connection in through + direct:
+        connection.close()
+    return {key: sorted(r[key] for r in rounds)[len(rounds) // 2] for key in rounds[0]}
+
+
+async def hold_idle(platform: Platform) -> tuple[int, float]:
+    """Return how many idle callers were held and the bytes for each.
+
+    The client's half of each connection is in this process too, so the figure
+    is an upper bound of the instance's own share.
+    """
+    gc.collect()
+    before = _resident_bytes()
+    held = []
+    for _ in range(IDLE_CONNECTIONS):
+        held.append(await platform.connect_through())
+    gc.collect()
+    used = _resident_bytes() - before
+    accepted = platform.instance.dump()["process"]["sql_connections"]
+    for connection in held:
+        connection.close()
+    return min(accepted, len(held)), used / len(held)
+
+
+def _resident_bytes() -> int:
+    pages = int(Path("/proc/self/statm").read_text().split()[1])
+    return pages * resource.getpagesize()
+
+
+async def main() -> None:
+    """Run the benchmark and write build/bench.json."""
+    configure_logging("bench", "local", "error")
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))
+    platform = Platform()
+    await platform.start()
+    figures = {}
+    for count in CONNECTIONS:
+        figures[count] = await compare(platform, count)
+        cells = "  ".join(f"{k} {v:.3f}" for k, v in figures[count].items())
+        typer.echo(f"{count:4} connections  {cells}")
+    idle, idle_bytes = await hold_idle(platform)
+    typer.echo(f"{idle} idle connections, {idle_bytes:.0f} bytes each")
+    result = {
+        "throughput_ratio": {str(c): f["ratio"] for c, f in figures.items()},
+        "statements_per_s": {str(c): f["statements_per_s"] for c, f in figures.items()},
+        "direct_statements_per_s": {
+            str(c): f["direct_per_s"] for c, f in figures.items()
+        },
+        "added_p50_ms": {str(c): f["added_p50_ms"] for c, f in figures.items()},
+        "added_p99_ms": {str(c): f["added_p99_ms"] for c, f in figures.items()},
+        "idle_connections": idle,
+        "bytes_per_connection": idle_bytes,
+    }
+    Path("build").mkdir(exist_ok=True)
+    Path("build/bench.json").write_text(json.dumps(result, indent=2) + "\n")
+
+
+if __name__ == "__main__":
+    asyncio.run(main())
--- a/src/burdocksail/core/_requests.py
+++ b/src/burdocksail/core/_requests.py
@@ -80,8 +80,9 @@
         Whether running the statement twice does no harm.
     work_class : WorkClass or None
         Class given by the caller; None leaves it to the statistics.
-    in_transaction : bool
-        Whether the statement belongs to the session's open transaction.
+    transaction_id : str
+        Request id of the BEGIN of the transaction that the statement belongs
+        to; empty outside of transactions.
     service_name : str
         Service that the database belongs to, for fair shares.
     """
@@ -101,9 +102,14 @@
     time_left: timedelta = timedelta(seconds=5)
     repeatable: bool = False
     work_class: WorkClass | None = None
-    in_transaction: bool = False
+    transaction_id: str = ""
     service_name: str = ""
 
+    @property
+    def in_transaction(self) -> bool:
+        """Return whether the statement belongs to an open transaction."""
+        return bool(self.transaction_id)
+
 
 @dataclass(frozen=True, slots=True)
 class Column:
--- a/src/burdocksail/node/_admission.py
+++ b/src/burdocksail/node/_admission.py
@@ -7,6 +7,7 @@
 order of arrival.
 """
 
+import math
 from collections import deque
 from datetime import timedelta
 
@@ -26,6 +27,8 @@
 LONG_FACTOR = 8.0
 LONG_MINIMUM_SECONDS = 0.05
 SMOOTHING = 0.1
+MIN_SERVICE_SECONDS = 0.0002
+MAX_WINDOW_FACTOR = 3
 MAX_FINGERPRINTS = 4096
 MAX_QUEUE_LENGTH = 20_000
 DEFAULT_SHARE = 1
@@ -80,6 +83,7 @@
             continue
         if board.now - operation.started_at >= limit:
             state.running[operation_id] = WorkClass.LONG
+            state.running_long += 1
             if operation.work is not None:
                 operation.work.work_class = WorkClass.LONG
 
@@ -91,7 +95,8 @@
         busy = count_running(state, WorkClass.LONG)
         ahead = state.long.length + max(0, busy - lanes + 1)
         return seconds(ahead * state.long_seconds / lanes)
-    free_of_long = max(1, slots - count_running(state, WorkClass.LONG))
+    window = count_window(state, slots)
+    free_of_long = max(1, window - count_running(state, WorkClass.LONG))
     ahead = state.short.length + max(
         0, count_running(state, WorkClass.SHORT) - free_of_long + 1
     )
@@ -143,6 +148,19 @@
     return _queue_of(state, work.work_class).length >= MAX_QUEUE_LENGTH
 
 
+def count_window(state: ServerState, slots: int) -> int:
+    """Return how many statements may be on their way to or from a server.
+
+    A statement holds its place here for a round trip longer than its slot at
+    the server. The window is larger than the slots by just that, so that the
+    slots stay busy and hardly anything waits at the server.
+    """
+    service = state.short_seconds - state.round_trip_seconds
+    service = max(service, MIN_SERVICE_SECONDS)
+    extra = math.ceil(slots * state.round_trip_seconds / service)
+    return slots + min(extra, slots * (MAX_WINDOW_FACTOR - 1))
+
+
 def take_next_work(
     board: Blackboard, runtime: GroupRuntime, state: ServerState, group: Group
 ) -> Work | None:
@@ -150,8 +168,7 @@
     if runtime.hold is Hold.ALL:
         return None
     running_long = count_running(state, WorkClass.LONG)
-    running = len(state.running)
-    if running >= group.slots:
+    if len(state.running) >= count_window(state, group.slots):
         return None
     may_run_long = (
         running_long < max_long_slots(group.slots) and runtime.hold is Hold.NONE
@@ -190,7 +207,21 @@
 
 def count_running(state: ServerState, work_class: WorkClass) -> int:
     """Return how many statements of a class run on a server."""
-    return sum(1 for running in state.running.values() if running is work_class)
+    if work_class is WorkClass.LONG:
+        return state.running_long
+    return len(state.running) - state.running_long
+
+
+def note_start(state: ServerState, operation_id: int, work_class: WorkClass) -> None:
+    """Count a statement that starts on a server."""
+    state.running[operation_id] = work_class
+    state.running_long += work_class is WorkClass.LONG
+
+
+def note_end(state: ServerState, operation_id: int) -> None:
+    """Count out a statement that ended on a server."""
+    work_class = state.running.pop(operation_id, None)
+    state.running_long -= work_class is WorkClass.LONG
 
 
 def _pop_fairly(board: Blackboard, state: ServerState, queue: WorkQueue) -> Work | None:
--- a/src/burdocksail/node/_board.py
+++ b/src/burdocksail/node/_board.py
@@ -336,6 +336,10 @@
     ----------
     vector : LogVector
         Lower bound of what the server has applied.
+    round_trip_seconds : float
+        Shortest recent time of an inspection, mostly spent on the network.
+    short_seconds, long_seconds : float
+        Mean time of a statement of each class, the network included.
     errant : bool
         Holds transactions that the primary does not have.
     """
@@ -354,18 +358,24 @@
     connections: dict[int, UpstreamConnection] = field(default_factory=dict)
     idle: list[int] = field(default_factory=list)
     running: dict[int, WorkClass] = field(default_factory=dict)
+    running_long: int = 0
     connect_retry_at: timedelta = timedelta()
     short: WorkQueue = field(default_factory=WorkQueue)
     long: WorkQueue = field(default_factory=WorkQueue)
+    round_trip_seconds: float = 0.001
     short_seconds: float = 0.002
     long_seconds: float = 0.2
 
 
 @dataclass(slots=True)
 class Transaction:
-    """An open transaction at the leader of its group."""
+    """An open transaction at the leader of its group.
 
-    session_id: str
+    It is known by the request id of its BEGIN. A session could not serve for
+    that: a BEGIN that arrives late must not pass for the session's newer one.
+    """
+
+    transaction_id: str
     origin: Instance | None
     server: str
     connection_id: int
@@ -436,7 +446,6 @@
     planned_retry_at: timedelta = timedelta()
     last_demand: timedelta = timedelta(seconds=-60)
     last_stated_age: timedelta = timedelta(seconds=-60)
-    last_good_write: timedelta | None = None
 
 
 @dataclass(slots=True)
@@ -514,6 +523,7 @@
     has_token: bool = False
     autocommit: bool = True
     transaction_group: str = ""
+    transaction_id: str = ""
     transaction_leader: Instance | None = None
     transaction_failed: bool = False
     options: StatementOptions = StatementOptions()
--- a/src/burdocksail/node/_connections.py
+++ b/src/burdocksail/node/_connections.py
@@ -7,6 +7,7 @@
 """
 
 from burdocksail.core import seconds
+from burdocksail.node import _admission
 from burdocksail.node._board import (
     Blackboard,
     ConnectionUse,
@@ -25,13 +26,17 @@
 
 
 def limit_connections(group: Group) -> int:
-    """Return how many connections for statements a server may have."""
-    return max(1, group.connections - RESERVED_CONNECTIONS)
+    """Return how many connections for statements a leader may open to a server.
+
+    That is half of them. A leader that is paused keeps its connections while
+    its successor opens its own, and both together stay within the limit.
+    """
+    return max(1, (group.connections - RESERVED_CONNECTIONS) // 2)
 
 
 def limit_transactions(group: Group) -> int:
     """Return how many transactions may be open; the slots stay usable."""
-    return max(1, limit_connections(group) - group.slots)
+    return max(1, limit_connections(group) - group.slots - SPARE_CONNECTIONS)
 
 
 def ensure_connections(
@@ -40,10 +45,9 @@
     """Open connections up to what the slots and transactions need."""
     if not state.reachable or board.now < state.connect_retry_at:
         return
-    in_transactions = sum(
-        1 for c in state.connections.values() if c.use is ConnectionUse.TRANSACTION
-    )
-    wanted = group.slots + SPARE_CONNECTIONS + in_transactions
+    wanted = _admission.count_window(state, group.slots) + SPARE_CONNECTIONS
+    if state.name == runtime.primary:
+        wanted += len(runtime.transactions)
     wanted = min(wanted, limit_connections(group))
     while len(state.connections) < wanted:
         connection_id = board.make_id()
@@ -65,7 +69,7 @@
     board: Blackboard, state: ServerState, group: Group
 ) -> None:
     """Close connections that a past rush left behind."""
-    keep = group.slots + SPARE_CONNECTIONS
+    keep = _admission.count_window(state, group.slots) + SPARE_CONNECTIONS
     for connection_id in list(state.idle):
         if len(state.connections) <= keep:
             return
--- a/src/burdocksail/node/_entry.py
+++ b/src/burdocksail/node/_entry.py
@@ -293,7 +293,7 @@
             kind=StatementKind.BEGIN,
             sql="BEGIN",
         )
-        statement = replace(request, in_transaction=True, request_key="")
+        statement = replace(request, transaction_id=begin.request_id, request_key="")
         _enter(board, session, begin, follow_up=statement)
         return
     _enter(board, session, request)
@@ -309,7 +309,9 @@
         message = "a transaction stays in one database group"
         _refuse(board, session, request.request_id, message)
         return
-    _enter(board, session, replace(request, in_transaction=True, request_key=""))
+    transaction_id = session.transaction_id
+    request = replace(request, transaction_id=transaction_id, request_key="")
+    _enter(board, session, request)
 
 
 def _end_no_transaction(board: Blackboard, session: Session, request: Request) -> None:
@@ -352,7 +354,8 @@
         return
     pending.forwarded_to = target
     pending.sent_at = board.now
-    request = replace(request, time_left=time_left)
+    if pending.attempts or target.key != board.me.key:
+        request = replace(request, time_left=time_left)
     if target.key != board.me.key:
         board.metrics.count("requests_forwarded")
         board.emit(Send(target, ForwardRequest(request)))
@@ -470,7 +473,7 @@
     session = board.entry.sessions.get(pending.session_id)
     if session is None:
         if request.kind is StatementKind.BEGIN and leader is not None:
-            _tell_session_closed(board, leader, request.group, pending.session_id)
+            _tell_session_closed(board, leader, request.group, request.request_id)
         return
     _note_position(board, session, request, answer)
     _note_transaction(board, session, request, answer, leader)
@@ -515,9 +518,10 @@
     if request.kind is StatementKind.BEGIN:
         if answer.outcome is Outcome.ANSWERED:
             session.transaction_group = request.group
+            session.transaction_id = request.request_id
             session.transaction_leader = leader
         elif leader is not None:
-            _tell_session_closed(board, leader, request.group, session.session_id)
+            _tell_session_closed(board, leader, request.group, request.request_id)
         return
     if not request.in_transaction:
         return
@@ -537,19 +541,19 @@
             board,
             session.transaction_leader,
             session.transaction_group,
-            session.session_id,
+            session.transaction_id,
         )
     session.transaction_group = ""
     session.transaction_leader = None
 
 
 def _tell_session_closed(
-    board: Blackboard, leader: Instance, group: str, session_id: str
+    board: Blackboard, leader: Instance, group: str, transaction_id: str
 ) -> None:
     if leader.key == board.me.key:
-        _transactions.abandon_session(board, group, session_id)
+        _transactions.abandon_transaction(board, group, transaction_id)
     else:
-        board.emit(Send(leader, SessionClosed(group, session_id)))
+        board.emit(Send(leader, SessionClosed(group, transaction_id)))
 
 
 def _refuse(board: Blackboard, session: Session, request_id: str, message: str) -> None:
--- a/src/burdocksail/node/_leadership.py
+++ b/src/burdocksail/node/_leadership.py
@@ -123,6 +123,22 @@
             board.emit(Send(member, ReleaseLeases((item,))))
 
 
+def give_up_lapsed_lease(board: Blackboard, leadership: Leadership) -> None:
+    """Close all connections once the lease has run out, and acquire it anew.
+
+    A successor may be opening its own connections by now. The ballot stays, so
+    that the group goes on without a claim if there is none.
+    """
+    if leadership.role not in _lease.SERVING_ROLES:
+        return
+    members = leadership.lease_members
+    if _lease.has_majority_of_grants(board, leadership, members):
+        return
+    board.metrics.count("leases_lapsed")
+    _runtime.close_runtime(board, leadership.group)
+    begin_acquiring(board, leadership, leadership.ballot, (), members)
+
+
 def publish_status(board: Blackboard, leadership: Leadership) -> None:
     """Write the group's status object, and read back if the answer is lost.
 
--- a/src/burdocksail/node/_messages.py
+++ b/src/burdocksail/node/_messages.py
@@ -69,10 +69,10 @@
 
 @dataclass(frozen=True, slots=True)
 class SessionClosed:
-    """Tells the leader that a session's open transaction is abandoned."""
+    """Tells the leader that a session's transaction is abandoned."""
 
     group: str
-    session_id: str
+    transaction_id: str
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/burdocksail/node/_node.py
+++ b/src/burdocksail/node/_node.py
@@ -210,7 +210,7 @@
 def _handle_session_closed(
     board: Blackboard, sender: Instance, message: SessionClosed
 ) -> None:
-    _transactions.abandon_session(board, message.group, message.session_id)
+    _transactions.abandon_transaction(board, message.group, message.transaction_id)
 
 
 _MESSAGE_HANDLERS: dict[type, Callable[[Blackboard, Instance, Message], None]] = {
@@ -239,6 +239,7 @@
     for leadership in list(board.authority.leaderships.values()):
         _claims.check_asking(board, leadership)
         _leadership.check_acquisition(board, leadership)
+        _leadership.give_up_lapsed_lease(board, leadership)
         _handover.advance_drain(board, leadership)
         _leadership.replace_missing_members(board, leadership)
         _leadership.advance_member_change(board, leadership)
--- a/src/burdocksail/node/_outcomes.py
+++ b/src/burdocksail/node/_outcomes.py
@@ -10,6 +10,7 @@
     Answer,
     AnswerError,
     Instance,
+    LogPosition,
     Outcome,
     Request,
     StatementKind,
@@ -69,7 +70,7 @@
         state.vector,
     )
     if not request.in_transaction:
-        state.running[operation_id] = work.work_class
+        _admission.note_start(state, operation_id, work.work_class)
     work.operations.add(operation_id)
     work.state = WorkState.RUNNING
     work.server = state.name
@@ -140,10 +141,26 @@
             _admission.forget_queued(runtime.servers[work.server], work)
     work.state = WorkState.FINISHED
     board.work.works.pop(work.request.request_id, None)
+    if answer.position is not None:
+        _raise_floor(board, work.request, answer.position)
     board.metrics.count(f"outcomes.{answer.outcome.value}")
     deliver_answer(board, work.request, work.origin, answer)
 
 
+def _raise_floor(board: Blackboard, request: Request, position: LogPosition) -> None:
+    """Remember the last acknowledged write of an account.
+
+    The floor rises with the acknowledgement and not with the write, so that
+    the replica the acknowledgement waited for can serve the next read.
+    """
+    runtime = board.work.runtimes.get(request.group)
+    if runtime is None:
+        return
+    floor = runtime.floors.get(request.account)
+    if floor is None or position > floor:
+        runtime.floors[request.account] = position
+
+
 def refuse_work(
     board: Blackboard, work: Work, error: AnswerError, message: str
 ) -> None:
@@ -173,8 +190,6 @@
         return False
     state.vector = result.vector
     position = result.vector.last
-    runtime.floors[work.request.account] = position
-    runtime.last_good_write = board.now
     work.position = position
     work.answer = Answer(
         Outcome.ANSWERED,
--- a/src/burdocksail/node/_routing.py
+++ b/src/burdocksail/node/_routing.py
@@ -18,6 +18,7 @@
 from burdocksail.records import Group
 
 OTHER_DOMAIN_PENALTY = seconds(0.001)
+PRIMARY_RELIEF_RUNS = 2
 
 
 def find_primary(runtime: GroupRuntime) -> ServerState | None:
@@ -34,12 +35,21 @@
         for state in runtime.servers.values()
         if may_serve_read(board, runtime, state, work.request, group)
     ]
-    if replicas:
-        return min(
-            replicas, key=lambda s: (_estimate_delay(board, s, work, group), s.name)
-        )
     primary = find_primary(runtime)
-    return primary if primary is not None and primary.reachable else None
+    if not replicas:
+        return primary if primary is not None and primary.reachable else None
+    best = min(replicas, key=lambda s: (_estimate_delay(board, s, work, group), s.name))
+    if primary is None or not primary.reachable:
+        return best
+    # The primary's slots are kept for what only it can do, until the replicas
+    # are so far behind that they would be wasted.
+    run = _admission.estimate_run(best, work.work_class)
+    relief = run * PRIMARY_RELIEF_RUNS
+    if _estimate_delay(board, primary, work, group) + relief < _estimate_delay(
+        board, best, work, group
+    ):
+        return primary
+    return best
 
 
 def may_serve_read(
--- a/src/burdocksail/node/_servers.py
+++ b/src/burdocksail/node/_servers.py
@@ -32,6 +32,7 @@
 INSPECT_INTERVAL_URGENT = seconds(0.1)
 INSPECT_TIMEOUT = seconds(0.6)
 WAIT_TIMEOUT = seconds(1)
+ROUND_TRIP_GROWTH = 1.1
 DEMAND_WINDOW = seconds(1)
 UNREACHABLE_AFTER_FAILURES = 2
 UNREACHABLE_AFTER = seconds(0.7)
@@ -135,10 +136,17 @@
         _note_failure(board, runtime, state)
     else:
         take_report(board, runtime, state, event.report, call.started_at)
+        _learn_round_trip(state, board.now - call.started_at)
         _work.release_progress(board, runtime)
     _promotion.advance_group(board, runtime)
 
 
+def _learn_round_trip(state: ServerState, duration: timedelta) -> None:
+    """Follow the shortest inspection; a slow one raises it only slowly."""
+    grown = state.round_trip_seconds * ROUND_TRIP_GROWTH
+    state.round_trip_seconds = min(grown, duration.total_seconds())
+
+
 def _finish_wait(
     board: Blackboard,
     runtime: GroupRuntime,
--- a/src/burdocksail/node/_transactions.py
+++ b/src/burdocksail/node/_transactions.py
@@ -39,7 +39,7 @@
 
 def run_in_transaction(board: Blackboard, runtime: GroupRuntime, work: Work) -> None:
     """Run a statement on the connection of its session's transaction."""
-    transaction = runtime.transactions.get(work.request.session_id)
+    transaction = runtime.transactions.get(work.request.transaction_id)
     if transaction is None:
         _answer_without_transaction(board, work)
         return
@@ -72,6 +72,14 @@
     return _find_by_connection(runtime, operation.connection_id) is not None
 
 
+def leaves_transaction_open(operation: RunningOperation) -> bool:
+    """Return whether a transaction may be open on an operation's connection."""
+    work = operation.work
+    if work is None or not work.request.in_transaction:
+        return False
+    return work.request.kind not in _ENDING_KINDS
+
+
 def conclude(
     board: Blackboard,
     runtime: GroupRuntime,
@@ -110,15 +118,15 @@
     transaction.busy = False
     transaction.last_used = board.now
     if kind in _ENDING_KINDS:
-        del runtime.transactions[transaction.session_id]
+        del runtime.transactions[transaction.transaction_id]
 
 
-def abandon_session(board: Blackboard, group: str, session_id: str) -> None:
-    """Roll back the transaction of a session that is gone."""
+def abandon_transaction(board: Blackboard, group: str, transaction_id: str) -> None:
+    """Roll back a transaction whose session has given it up."""
     runtime = board.work.runtimes.get(group)
     if runtime is None:
         return
-    transaction = runtime.transactions.get(session_id)
+    transaction = runtime.transactions.get(transaction_id)
     if transaction is not None:
         _abandon(board, runtime, transaction)
 
@@ -145,20 +153,20 @@
     """Forget the transaction of a connection that broke."""
     transaction = _find_by_connection(runtime, connection_id)
     if transaction is not None:
-        del runtime.transactions[transaction.session_id]
+        del runtime.transactions[transaction.transaction_id]
 
 
 def _register(
     board: Blackboard, runtime: GroupRuntime, operation: RunningOperation, work: Work
 ) -> None:
     transaction = Transaction(
-        work.request.session_id,
+        work.request.request_id,
         work.origin,
         operation.server,
         operation.connection_id,
         board.now,
     )
-    runtime.transactions[transaction.session_id] = transaction
+    runtime.transactions[transaction.transaction_id] = transaction
     if work.state is WorkState.FINISHED:
         # The caller was told already that its BEGIN did not come through.
         _roll_back(board, runtime, transaction)
@@ -172,7 +180,7 @@
         return
     # Its last statement may never return; the server rolls back what a closed
     # connection leaves open.
-    del runtime.transactions[transaction.session_id]
+    del runtime.transactions[transaction.transaction_id]
     state = runtime.servers[transaction.server]
     connection = state.connections.get(transaction.connection_id)
     if connection is not None:
@@ -182,7 +190,7 @@
 def _roll_back(
     board: Blackboard, runtime: GroupRuntime, transaction: Transaction
 ) -> None:
-    del runtime.transactions[transaction.session_id]
+    del runtime.transactions[transaction.transaction_id]
     state = runtime.servers[transaction.server]
     connection = state.connections.get(transaction.connection_id)
     if connection is None:
--- a/src/burdocksail/node/_work.py
+++ b/src/burdocksail/node/_work.py
@@ -46,6 +46,9 @@
 from burdocksail.records import Group
 
 MAX_ATTEMPTS = 4
+# An expected wait is an average; work admitted up to the brim would expire
+# after it has taken a slot.
+WAIT_MARGIN = 1.25
 # As long as the longest deadline that a record may state.
 STUCK_AFTER = seconds(3600)
 RETRY_TOKENS_PER_REQUEST = 0.1
@@ -108,7 +111,7 @@
         return
     wait = _admission.estimate_fair_wait(board, state, work, group.slots)
     run = _admission.estimate_run(state, work.work_class)
-    too_late = board.now + wait + run > work.deadline
+    too_late = board.now + wait * WAIT_MARGIN + run * 2 > work.deadline
     if (too_late and wait > timedelta()) or _admission.is_queue_full(state, work):
         board.metrics.count("refused_overloaded")
         message = f"expected wait of {wait.total_seconds():.3f} s is too long"
@@ -130,7 +133,8 @@
         work = _admission.take_next_work(board, runtime, state, group)
         if work is None:
             return
-        if board.now > work.deadline:
+        run = _admission.estimate_run(state, work.work_class)
+        if board.now + run > work.deadline:
             _outcomes.refuse_work(
                 board, work, AnswerError.DEADLINE, "the deadline has passed"
             )
@@ -149,7 +153,7 @@
     if runtime is None:
         return
     state = runtime.servers[operation.server]
-    state.running.pop(operation.operation_id, None)
+    _admission.note_end(state, operation.operation_id)
     broken = event.result.status in (OperationStatus.LOST, OperationStatus.NOT_SENT)
     if broken:
         _connections.forget_connection(board, state, operation.connection_id)
@@ -244,7 +248,6 @@
             continue
         assert work.position is not None
         if runtime.opening.covers(work.position):
-            runtime.floors[work.request.account] = runtime.opening.last
             _outcomes.answer_work(board, runtime, work, work.answer)
         else:
             board.metrics.count("writes_lost_unacknowledged")
@@ -391,6 +394,9 @@
         return
     if _transactions.keeps_connection(runtime, operation, result):
         connection.use = ConnectionUse.TRANSACTION
+    elif _transactions.leaves_transaction_open(operation):
+        # Nobody knows its transaction any more, so nobody would end it.
+        _connections.close_connection(board, state, connection)
     else:
         _connections.release_connection(board, state, connection)
     _transactions.settle(board, runtime, operation, result)
--- a/src/burdocksail/shell/_upstreams.py
+++ b/src/burdocksail/shell/_upstreams.py
@@ -29,6 +29,7 @@
 FIRST_CLIENT_ERROR = 2000
 LAST_CLIENT_ERROR = 2999
 MAX_IDLE_ADMIN_CONNECTIONS = 2
+ADMIN_IDLE_CLOSE_S = 5.0
 
 HandleEvent = Callable[[Event], None]
 
@@ -43,6 +44,8 @@
     def __init__(self, connection: Any):
         self._connection = connection
         self._database = ""
+        self.uses = 0
+        self.uses_when_idle = 0
 
     @classmethod
     async def open(cls, group: Group, server: Server) -> "UpstreamConnection":
@@ -85,6 +88,7 @@
         ConnectionBrokenError
             If the connection breaks.
         """
+        self.uses += 1
         cursor = self._connection.cursor()
         await self._call(cursor.execute(sql))
         if cursor.description is None:
@@ -246,12 +250,28 @@
         except BaseException:
             connection.close()
             raise
-        if len(idle) < MAX_IDLE_ADMIN_CONNECTIONS:
-            idle.append(connection)
-        else:
+        if len(idle) >= MAX_IDLE_ADMIN_CONNECTIONS:
             connection.close()
+            return report
+        connection.uses_when_idle = connection.uses
+        idle.append(connection)
+        asyncio.get_running_loop().call_later(
+            ADMIN_IDLE_CLOSE_S, self._close_idle_admin, idle, connection
+        )
         return report
 
+    def _close_idle_admin(
+        self, idle: list[UpstreamConnection], connection: UpstreamConnection
+    ) -> None:
+        """Close a connection that has not been used since it became idle.
+
+        Inspections of a leader use one over and over; a member that only
+        looked once must not keep a connection of the server.
+        """
+        if connection in idle and connection.uses == connection.uses_when_idle:
+            idle.remove(connection)
+            connection.close()
+
 
 async def _drive(script: Any, connection: UpstreamConnection) -> Any:
     """Run a script's statements on a connection and return its result."""
--- a/src/burdocksail/standin/_world.py
+++ b/src/burdocksail/standin/_world.py
@@ -162,6 +162,7 @@
             driver.add_node(f"node-{index}", domains[index % len(domains)], rate)
         self._require(self.wait_until_open(SETTLE_LIMIT), "the group did not open")
         self._run_setup(CREATE_TABLE)
+        driver.run_for(seconds(2))
         for index in range(self.settings.callers):
             account = ACCOUNTS[index % len(ACCOUNTS)]
             caller = Caller(f"caller-{index}", account, uses_token=index % 2 == 0)
--- a/src/burdocksail/tools/_demo.py
+++ b/src/burdocksail/tools/_demo.py
@@ -206,7 +206,9 @@
     )
 
 
-def _is_alive(connection: pymysql.Connection) -> bool:
+def _is_alive(connection: pymysql.Connection | None) -> bool:
+    if connection is None or not connection.open:
+        return False
     with suppress(pymysql.MySQLError, OSError):
         connection.ping(reconnect=False)
         return True
--- a/src/burdocksail/wire/peer.thrift
+++ b/src/burdocksail/wire/peer.thrift
@@ -14,7 +14,7 @@
   4: string database, 5: string group, 6: string sql, 7: string kind,
   8: string freshness, 9: optional i64 max_age, 10: optional LogPosition floor,
   11: bool has_token, 12: string request_key, 13: i64 time_left,
-  14: bool repeatable, 15: optional string work_class, 16: bool in_transaction,
+  14: bool repeatable, 15: optional string work_class, 16: string transaction_id,
   17: string service_name
 }
 struct Column { 1: string name, 2: i32 type_code }
@@ -35,7 +35,7 @@
 struct NotLeader {
   1: string request_id, 2: string group, 3: optional Instance leader
 }
-struct SessionClosed { 1: string group, 2: string session_id }
+struct SessionClosed { 1: string group, 2: string transaction_id }
 
 struct LeaseItem { 1: string group, 2: Ballot ballot }
 struct LeaseRefusal { 1: string group, 2: Ballot asked, 3: Ballot bound }
