Name the accepted records' prefix once

Cause: the prefix stood in two modules, and a comment on rumours told nothing.

Change: the acceptor imports the prefix; the comment says which rumour holds.

Conclusion: no behaviour changes.

--- a/src/burdocksail/node/_acceptance.py
+++ b/src/burdocksail/node/_acceptance.py
@@ -12,6 +12,7 @@
 from burdocksail.core import seconds
 from burdocksail.node import _placement
 from burdocksail.node._board import Blackboard, RecordView
+from burdocksail.node._configuration import ACCEPTED_PREFIX
 from burdocksail.node._store import (
     GetObject,
     ListObjects,
@@ -33,7 +34,6 @@
 )
 
 RECORDS_PREFIX = "records/"
-ACCEPTED_PREFIX = "accepted/"
 STATUS_PREFIX = "status/"
 WATCH_TIMEOUT = seconds(20)
 WATCH_CALL_TIMEOUT = seconds(22)
--- a/src/burdocksail/node/_membership.py
+++ b/src/burdocksail/node/_membership.py
@@ -36,7 +36,7 @@
 COPIES_PER_DOUBLING = 3
 MIN_LIST_INTERVAL = seconds(5)
 LIST_INTERVAL_PER_INSTANCE = seconds(0.1)
-# A version larger than any state; ranks states of equal version.
+# Of two rumours of the same version, the one of higher rank holds.
 _STATE_RANK = {"alive": 0, "suspect": 1, "leaving": 2, "dead": 3}
 
 
