Start administrative actions in one place, and mend names

Cause: reading the change again showed two functions that start an action on a server, a wrapper without a job, a made-up server state passed for the sake of its vector, an error that nobody gives, and a name that told half of what it finds.

Change: _admin_calls starts all actions; measure_age takes a vector; find_unsupported_part; the unused error is gone.

--- a/src/burdocksail/core/__init__.py
+++ b/src/burdocksail/core/__init__.py
@@ -17,7 +17,7 @@
 )
 from burdocksail.core._statements import (
     classify_statement,
-    find_session_state,
+    find_unsupported_part,
     fingerprint_statement,
 )
 from burdocksail.core._tokens import decode_token, encode_token
@@ -43,7 +43,7 @@
     "classify_statement",
     "decode_token",
     "encode_token",
-    "find_session_state",
+    "find_unsupported_part",
     "fingerprint_statement",
     "parse_gtid_set",
     "rank_instances",
--- a/src/burdocksail/core/_requests.py
+++ b/src/burdocksail/core/_requests.py
@@ -148,7 +148,6 @@
     NO_LEADER = "no_leader"
     NO_PRIMARY = "no_primary"
     LOST_WRITE = "lost_write"
-    TOO_OLD = "too_old"
     TRANSACTION_LOST = "transaction_lost"
     UPSTREAM_LOST = "upstream_lost"
     UPSTREAM_ERROR = "upstream_error"
--- a/src/burdocksail/core/_statements.py
+++ b/src/burdocksail/core/_statements.py
@@ -56,7 +56,7 @@
     return StatementKind.WRITE
 
 
-def find_session_state(sql: str) -> str:
+def find_unsupported_part(sql: str) -> str:
     """Return the part of `sql` that cannot run on a pooled connection.
 
     That is what would leave state on the connection, and what follows a first
--- a/src/burdocksail/core/statements_test.py
+++ b/src/burdocksail/core/statements_test.py
@@ -5,7 +5,7 @@
 from burdocksail.core import (
     StatementKind,
     classify_statement,
-    find_session_state,
+    find_unsupported_part,
     fingerprint_statement,
 )
 
@@ -56,11 +56,11 @@
 
     def test_statements_that_leave_state_are_found(self):
         for sql in REFUSED:
-            self.assertTrue(find_session_state(sql), sql)
+            self.assertTrue(find_unsupported_part(sql), sql)
 
     def test_a_semicolon_in_a_literal_or_at_the_end_is_no_second_statement(self):
-        self.assertEqual(find_session_state("SELECT 'a; b';"), "")
-        self.assertEqual(find_session_state("INSERT INTO t VALUES ('x;y')"), "")
+        self.assertEqual(find_unsupported_part("SELECT 'a; b';"), "")
+        self.assertEqual(find_unsupported_part("INSERT INTO t VALUES ('x;y')"), "")
 
     def test_fingerprint_ignores_literals(self):
         first = fingerprint_statement("SELECT a FROM t WHERE b = 'x' AND c = 17")
--- /dev/null
+++ b/src/burdocksail/node/_admin_calls.py
@@ -0,0 +1,25 @@
+"""Administrative actions on servers, counted and matched with their results."""
+
+from datetime import timedelta
+
+from burdocksail.node._board import AdminCall, Blackboard, ServerState
+from burdocksail.node._effects import RunAdmin
+from burdocksail.node._upstream import AdminAction
+from burdocksail.records import Group
+
+
+def start_admin_call(
+    board: Blackboard,
+    group: Group,
+    state: ServerState,
+    action: AdminAction,
+    purpose: str,
+    timeout: timedelta,
+) -> int:
+    """Start an administrative action and return its number."""
+    action_id = board.make_id()
+    call = AdminCall(group.name, state.name, purpose, board.now)
+    board.work.admin_actions[action_id] = call
+    board.metrics.count(f"admin.{purpose}")
+    board.emit(RunAdmin(action_id, group, state.record, action, timeout))
+    return action_id
--- a/src/burdocksail/node/_admission.py
+++ b/src/burdocksail/node/_admission.py
@@ -11,7 +11,7 @@
 from collections import deque
 from datetime import timedelta
 
-from burdocksail.core import WorkClass, fingerprint_statement, seconds
+from burdocksail.core import WorkClass, seconds
 from burdocksail.node._board import (
     Blackboard,
     FingerprintStatistics,
@@ -48,11 +48,6 @@
     return WorkClass.SHORT
 
 
-def compute_fingerprint(sql: str) -> int:
-    """Return the hash under which a statement's duration is remembered."""
-    return fingerprint_statement(sql)
-
-
 def learn_duration(
     board: Blackboard, state: ServerState, work: Work, duration: timedelta
 ) -> None:
--- a/src/burdocksail/node/_entry.py
+++ b/src/burdocksail/node/_entry.py
@@ -22,7 +22,7 @@
     TokenError,
     classify_statement,
     encode_token,
-    find_session_state,
+    find_unsupported_part,
     rank_instances,
     seconds,
 )
@@ -220,9 +220,9 @@
         name = event.database
         _refuse(board, session, event.request_id, f"no database {name!r} here for you")
         return None
-    state = find_session_state(event.sql)
-    if state:
-        message = f"{state} is refused: it would leave state on a shared connection"
+    part = find_unsupported_part(event.sql)
+    if part:
+        message = f"{part} is refused: connections are shared by callers"
         _refuse(board, session, event.request_id, message)
         return None
     options = _merge_options(session.options, event.options)
--- a/src/burdocksail/node/_promotion.py
+++ b/src/burdocksail/node/_promotion.py
@@ -12,7 +12,7 @@
 """
 
 from burdocksail.core import Instance, LogVector, seconds
-from burdocksail.node import _handover, _lease, _routing, _work
+from burdocksail.node import _admin_calls, _handover, _lease, _routing, _work
 from burdocksail.node._board import (
     AdminCall,
     Blackboard,
@@ -181,23 +181,20 @@
         if source == wanted and report.term == runtime.term and not state.errant:
             continue
         action = FollowServer(runtime.term, primary.record)
-        run_change(board, group, state, action, "follow")
+        _start_change(board, group, state, action, "follow")
 
 
-def run_change(
+def _start_change(
     board: Blackboard,
     group: Group,
     state: ServerState,
     action: AdminAction,
     purpose: str,
 ) -> int:
-    """Start an action that changes a server."""
-    action_id = board.make_id()
-    call = AdminCall(group.name, state.name, purpose, board.now)
-    board.work.admin_actions[action_id] = call
-    board.metrics.count(f"admin.{purpose}")
-    board.emit(RunAdmin(action_id, group, state.record, action, ACTION_TIMEOUT))
-    return action_id
+    """Start an action that changes a server and return its number."""
+    return _admin_calls.start_admin_call(
+        board, group, state, action, purpose, ACTION_TIMEOUT
+    )
 
 
 def _watch_primary(board: Blackboard, runtime: GroupRuntime, group: Group) -> None:
@@ -240,7 +237,7 @@
         behind = report.term < runtime.term or state.errant or not report.source_host
         if behind and state.name not in pending:
             action = FollowServer(runtime.term, primary.record)
-            run_change(board, group, state, action, "follow")
+            _start_change(board, group, state, action, "follow")
 
 
 def _choose_planned_target(
@@ -344,7 +341,7 @@
         if state.name in promotion.fenced:
             continue
         action = FenceServer(promotion.term)
-        action_id = run_change(board, group, state, action, "fence")
+        action_id = _start_change(board, group, state, action, "fence")
         promotion.actions[action_id] = "fence"
 
 
@@ -385,7 +382,7 @@
     board: Blackboard, runtime: GroupRuntime, promotion: Promotion, group: Group
 ) -> None:
     state = runtime.servers[promotion.target]
-    action_id = run_change(
+    action_id = _start_change(
         board, group, state, PromoteServer(promotion.term), "promote"
     )
     promotion.actions[action_id] = "promote"
@@ -417,7 +414,7 @@
         promotion.since = board.now
         runtime.phase = Phase.PROMOTING
         action = FenceServer(promotion.term)
-        action_id = run_change(board, group, primary, action, "fence")
+        action_id = _start_change(board, group, primary, action, "fence")
         promotion.actions[action_id] = "fence"
     elif patience_over and runtime.hold is not Hold.ALL:
         runtime.planned_retry_at = board.now + PLANNED_RETRY
@@ -453,7 +450,7 @@
         return
     if "catch_up" not in promotion.actions.values():
         action = AwaitPosition(promotion.goal.last)
-        action_id = run_change(board, group, target, action, "catch_up")
+        action_id = _start_change(board, group, target, action, "catch_up")
         promotion.actions[action_id] = "catch_up"
 
 
--- a/src/burdocksail/node/_routing.py
+++ b/src/burdocksail/node/_routing.py
@@ -7,7 +7,14 @@
 
 from datetime import timedelta
 
-from burdocksail.core import Freshness, LogPosition, Request, WorkClass, seconds
+from burdocksail.core import (
+    Freshness,
+    LogPosition,
+    LogVector,
+    Request,
+    WorkClass,
+    seconds,
+)
 from burdocksail.node import _admission
 from burdocksail.node._board import (
     Blackboard,
@@ -71,7 +78,7 @@
     if request.freshness is not Freshness.STATED_AGE:
         return True
     run = seconds(_admission.estimate_run_seconds(state, WorkClass.SHORT))
-    age = measure_age(board, runtime, state)
+    age = measure_age(board, runtime, state.name, state.vector)
     return age is not None and age + run <= (request.max_age or timedelta())
 
 
@@ -103,17 +110,17 @@
 
 
 def measure_age(
-    board: Blackboard, runtime: GroupRuntime, state: ServerState
+    board: Blackboard, runtime: GroupRuntime, server: str, vector: LogVector
 ) -> timedelta | None:
-    """Return the greatest possible age of a server's data, if it is known.
+    """Return the greatest possible age of data that a server had, if known.
 
-    The age is that of the newest sample of the primary that the server covers,
+    The age is that of the newest sample of the primary that `vector` covers,
     counted from before the sample was asked for.
     """
-    if state.name == runtime.primary:
+    if server == runtime.primary:
         return timedelta()
     for sample in reversed(runtime.samples):
-        if state.vector.covers_all(sample.vector):
+        if vector.covers_all(sample.vector):
             return board.now - sample.taken_at
     return None
 
--- a/src/burdocksail/node/_servers.py
+++ b/src/burdocksail/node/_servers.py
@@ -9,7 +9,7 @@
 from datetime import timedelta
 
 from burdocksail.core import LogVector, seconds
-from burdocksail.node import _promotion, _routing, _work
+from burdocksail.node import _admin_calls, _promotion, _routing, _work
 from burdocksail.node._board import (
     AdminCall,
     Blackboard,
@@ -18,15 +18,12 @@
     PrimarySample,
     ServerState,
 )
-from burdocksail.node._effects import RunAdmin
 from burdocksail.node._events import AdminFinished
 from burdocksail.node._upstream import (
-    AdminAction,
     AwaitPosition,
     InspectServer,
     ServerReport,
 )
-from burdocksail.records import Group
 
 INSPECT_INTERVAL = seconds(0.5)
 INSPECT_INTERVAL_URGENT = seconds(0.1)
@@ -49,7 +46,7 @@
         if state.inspecting or (last is not None and board.now - last < interval):
             continue
         state.inspected_at = board.now
-        state.inspecting = run_admin(
+        state.inspecting = _admin_calls.start_admin_call(
             board, group, state, InspectServer(), "inspect", INSPECT_TIMEOUT
         )
 
@@ -66,28 +63,11 @@
             continue
         if _routing.is_healthy_replica(runtime, state):
             action = AwaitPosition(position)
-            state.awaiting = run_admin(
+            state.awaiting = _admin_calls.start_admin_call(
                 board, group, state, action, "await", WAIT_TIMEOUT
             )
 
 
-def run_admin(
-    board: Blackboard,
-    group: Group,
-    state: ServerState,
-    action: AdminAction,
-    purpose: str,
-    timeout: timedelta,
-) -> int:
-    """Start an administrative action and return its number."""
-    action_id = board.make_id()
-    call = AdminCall(group.name, state.name, purpose, board.now)
-    board.work.admin_actions[action_id] = call
-    board.metrics.count(f"admin.{purpose}")
-    board.emit(RunAdmin(action_id, group, state.record, action, timeout))
-    return action_id
-
-
 def handle_admin_finished(board: Blackboard, event: AdminFinished) -> None:
     """Take in the result of an administrative action."""
     call = board.work.admin_actions.pop(event.action_id, None)
--- a/src/burdocksail/node/_work.py
+++ b/src/burdocksail/node/_work.py
@@ -17,6 +17,7 @@
     Request,
     StatementKind,
     WorkClass,
+    fingerprint_statement,
     seconds,
 )
 from burdocksail.node import (
@@ -69,7 +70,7 @@
         return
     runtime = board.work.runtimes[request.group]
     service = board.configuration.services.get(request.service_name)
-    fingerprint = _admission.compute_fingerprint(request.sql)
+    fingerprint = fingerprint_statement(request.sql)
     work_class = request.work_class or _admission.classify_work(
         board, request.sql, service, fingerprint
     )
@@ -450,8 +451,7 @@
     if request.freshness is Freshness.STATED_AGE:
         # The rows are at least as new as what the server was known to have
         # applied when the read began; the age counts until the answer leaves.
-        started = replace_vector(state, operation)
-        age = _routing.measure_age(board, runtime, started)
+        age = _routing.measure_age(board, runtime, state.name, operation.vector)
         if age is None or age > (request.max_age or timedelta()):
             board.metrics.count("reads_too_old")
             work.request = replace(request, freshness=Freshness.PRIMARY)
@@ -466,11 +466,6 @@
     _outcomes.answer_work(board, runtime, work, answer)
 
 
-def replace_vector(state: ServerState, operation: RunningOperation) -> ServerState:
-    """Return the server's state as known when an operation began."""
-    return ServerState(state.name, state.record, vector=operation.vector)
-
-
 def _conclude_refused(
     board: Blackboard,
     runtime: GroupRuntime,
--- a/src/burdocksail/shell/_callers.py
+++ b/src/burdocksail/shell/_callers.py
@@ -27,7 +27,6 @@
     AnswerError.NO_LEADER: 1105,
     AnswerError.NO_PRIMARY: 1105,
     AnswerError.LOST_WRITE: 1105,
-    AnswerError.TOO_OLD: 1105,
     AnswerError.TRANSACTION_LOST: 1213,
     AnswerError.UPSTREAM_LOST: 1105,
     AnswerError.BAD_REQUEST: 1235,
