Move the state of led groups out of the blackboard module

Change: _groups.py holds servers, connections, queues, requests, transactions and promotions; _board.py the sections. Code is moved, not changed.

--- a/src/burdocksail/node/__init__.py
+++ b/src/burdocksail/node/__init__.py
@@ -1,7 +1,7 @@
 """The deterministic node: events in, effects out, no input or output."""
 
 from burdocksail.node._acceptance import examine_records
-from burdocksail.node._board import Blackboard, Phase, Role
+from burdocksail.node._board import Blackboard, Role
 from burdocksail.node._configuration import decode_accepted
 from burdocksail.node._effects import (
     CallStore,
@@ -32,6 +32,7 @@
     UpstreamClosed,
     UpstreamConnected,
 )
+from burdocksail.node._groups import Phase
 from burdocksail.node._invariants import InvariantError
 from burdocksail.node._messages import Message
 from burdocksail.node._metrics import Metrics, make_histogram, summarise_histogram
--- a/src/burdocksail/node/_admin_calls.py
+++ b/src/burdocksail/node/_admin_calls.py
@@ -2,8 +2,9 @@
 
 from datetime import timedelta
 
-from burdocksail.node._board import AdminCall, Blackboard, ServerState
+from burdocksail.node._board import Blackboard
 from burdocksail.node._effects import RunAdmin
+from burdocksail.node._groups import AdminCall, ServerState
 from burdocksail.node._upstream import AdminAction
 from burdocksail.records import Group
 
--- a/src/burdocksail/node/_admission.py
+++ b/src/burdocksail/node/_admission.py
@@ -12,8 +12,8 @@
 from datetime import timedelta
 
 from burdocksail.core import WorkClass, seconds
-from burdocksail.node._board import (
-    Blackboard,
+from burdocksail.node._board import Blackboard
+from burdocksail.node._groups import (
     FingerprintStatistics,
     GroupRuntime,
     Hold,
--- a/src/burdocksail/node/_connections.py
+++ b/src/burdocksail/node/_connections.py
@@ -8,14 +8,14 @@
 
 from burdocksail.core import seconds
 from burdocksail.node import _admission
-from burdocksail.node._board import (
-    Blackboard,
+from burdocksail.node._board import Blackboard
+from burdocksail.node._effects import CloseConnection, OpenConnection
+from burdocksail.node._groups import (
     ConnectionUse,
     GroupRuntime,
     ServerState,
     UpstreamConnection,
 )
-from burdocksail.node._effects import CloseConnection, OpenConnection
 from burdocksail.records import Group
 
 # Kept free for the leader's inspections and waits, and for members' probes.
--- a/src/burdocksail/node/_dump.py
+++ b/src/burdocksail/node/_dump.py
@@ -8,7 +8,8 @@
 
 from burdocksail.core import Instance
 from burdocksail.node import _lease
-from burdocksail.node._board import Blackboard, GroupRuntime, Leadership, ServerState
+from burdocksail.node._board import Blackboard, Leadership
+from burdocksail.node._groups import GroupRuntime, ServerState
 
 
 def dump_board(board: Blackboard) -> dict[str, Any]:
--- /dev/null
+++ b/src/burdocksail/node/_groups.py
@@ -0,0 +1,274 @@
+"""State of the groups that this instance leads.
+
+Parts of the blackboard's ``work`` section: servers, connections, queues,
+requests, transactions and changes of primary.
+"""
+
+from collections import deque
+from dataclasses import dataclass, field
+from datetime import timedelta
+from enum import Enum
+
+from burdocksail.core import (
+    Answer,
+    Instance,
+    LogPosition,
+    LogVector,
+    Request,
+    WorkClass,
+)
+from burdocksail.node._upstream import ServerReport
+from burdocksail.records import Server
+
+
+class Phase(Enum):
+    """Whether a group that this instance leads can be used."""
+
+    INSPECTING = "inspecting"
+    OPEN = "open"
+    PROMOTING = "promoting"
+
+
+class Hold(Enum):
+    """Which new work waits while a handover or planned change is under way."""
+
+    NONE = "none"
+    LONG = "long"
+    ALL = "all"
+
+
+class ConnectionUse(Enum):
+    """What an upstream connection is doing."""
+
+    OPENING = "opening"
+    IDLE = "idle"
+    BUSY = "busy"
+    TRANSACTION = "transaction"
+
+
+@dataclass(slots=True)
+class UpstreamConnection:
+    """One connection to an upstream server."""
+
+    connection_id: int
+    group: str
+    server: str
+    use: ConnectionUse
+    opened_at: timedelta
+    idle_since: timedelta
+
+
+class WorkState(Enum):
+    """Where a request that this instance runs is."""
+
+    PARKED = "parked"
+    QUEUED = "queued"
+    RUNNING = "running"
+    AWAITING_REPLICA = "awaiting_replica"
+    AWAITING_LEASE = "awaiting_lease"
+    FINISHED = "finished"
+
+
+@dataclass(slots=True)
+class Work:
+    """A request at the leader of its group.
+
+    Attributes
+    ----------
+    origin : Instance or None
+        Instance that forwarded the request; None for this one.
+    operations : set of int
+        Operations that are running for it; two if the read is hedged.
+    sent : bool
+        Whether an upstream may have run it.
+    lost_before : bool
+        Whether an earlier attempt ended with its result lost.
+    answer : Answer or None
+        The answer that waits for a replica or for the lease.
+    """
+
+    request: Request
+    origin: Instance | None
+    arrived_at: timedelta
+    deadline: timedelta
+    work_class: WorkClass
+    fingerprint: int
+    state: WorkState = WorkState.PARKED
+    server: str = ""
+    operations: set[int] = field(default_factory=set)
+    attempts: int = 0
+    sent: bool = False
+    lost_before: bool = False
+    answer: Answer | None = None
+    position: LogPosition | None = None
+    started_at: timedelta = timedelta()
+
+
+@dataclass(slots=True)
+class WorkQueue:
+    """Fair queue of one work class at one server; written by ``_admission``.
+
+    Attributes
+    ----------
+    by_service : dict of str to deque of Work
+        Waiting work in order of arrival.
+    served : dict of str to float
+        Virtual finish time of each service: work served over its share.
+    """
+
+    by_service: dict[str, deque[Work]] = field(default_factory=dict)
+    served: dict[str, float] = field(default_factory=dict)
+    virtual_time: float = 0.0
+    length: int = 0
+
+
+@dataclass(slots=True)
+class ServerState:
+    """An upstream server as seen by the leader of its group.
+
+    Attributes
+    ----------
+    vector : LogVector
+        Lower bound of what the server has applied.
+    round_trip_seconds : float
+        Shortest recent time of an inspection, mostly spent on the network.
+    short_seconds, long_seconds : float
+        Mean time of a statement of each class, the network included.
+    errant : bool
+        Holds transactions that the primary does not have.
+    """
+
+    name: str
+    record: Server
+    report: ServerReport | None = None
+    vector: LogVector = LogVector()
+    reported_at: timedelta | None = None
+    failures: int = 0
+    reachable: bool = True
+    errant: bool = False
+    inspecting: int = 0
+    awaiting: int = 0
+    inspected_at: timedelta | None = None
+    connections: dict[int, UpstreamConnection] = field(default_factory=dict)
+    idle: list[int] = field(default_factory=list)
+    running: dict[int, WorkClass] = field(default_factory=dict)
+    running_long: int = 0
+    connect_retry_at: timedelta = timedelta()
+    short: WorkQueue = field(default_factory=WorkQueue)
+    long: WorkQueue = field(default_factory=WorkQueue)
+    round_trip_seconds: float = 0.001
+    short_seconds: float = 0.002
+    long_seconds: float = 0.2
+
+
+@dataclass(slots=True)
+class Transaction:
+    """An open transaction at the leader of its group.
+
+    It is known by the request id of its BEGIN. A session could not serve for
+    that: a BEGIN that arrives late must not pass for the session's newer one.
+    """
+
+    transaction_id: str
+    origin: Instance | None
+    server: str
+    connection_id: int
+    last_used: timedelta
+    busy: bool = False
+
+
+class PromotionStep(Enum):
+    """Step of a change of primary."""
+
+    CONFIRMING = "confirming"
+    HOLDING = "holding"
+    FENCING_PRIMARY = "fencing_primary"
+    CATCHING_UP = "catching_up"
+    FENCING = "fencing"
+    PROMOTING = "promoting"
+
+
+@dataclass(slots=True)
+class Promotion:
+    """A change of primary under way; written by ``_promotion``."""
+
+    term: int
+    step: PromotionStep
+    since: timedelta
+    planned: bool
+    target: str = ""
+    actions: dict[int, str] = field(default_factory=dict)
+    fenced: dict[str, ServerReport] = field(default_factory=dict)
+    reachable_by: dict[str, bool] = field(default_factory=dict)
+    goal: LogVector = LogVector()
+
+
+@dataclass(frozen=True, slots=True)
+class PrimarySample:
+    """What the primary had applied at an instant no later than `taken_at`.
+
+    ``taken_at`` is the time before the question was sent.
+    """
+
+    taken_at: timedelta
+    vector: LogVector
+
+
+@dataclass(slots=True)
+class GroupRuntime:
+    """A group that this instance leads.
+
+    Written by ``_servers``, ``_promotion`` (phase, term, primary) and ``_work``
+    (work lists, floors, transactions).
+    """
+
+    group: str
+    started_at: timedelta
+    phase: Phase = Phase.INSPECTING
+    hold: Hold = Hold.NONE
+    term: int = 0
+    primary: str = ""
+    opening: LogVector = LogVector()
+    servers: dict[str, ServerState] = field(default_factory=dict)
+    samples: deque[PrimarySample] = field(default_factory=lambda: deque(maxlen=256))
+    floors: dict[str, LogPosition] = field(default_factory=dict)
+    transactions: dict[str, Transaction] = field(default_factory=dict)
+    parked: list[Work] = field(default_factory=list)
+    awaiting_replica: list[Work] = field(default_factory=list)
+    awaiting_lease: list[Work] = field(default_factory=list)
+    promotion: Promotion | None = None
+    planned_retry_at: timedelta = timedelta()
+    last_demand: timedelta = timedelta(seconds=-60)
+    last_stated_age: timedelta = timedelta(seconds=-60)
+
+
+@dataclass(slots=True)
+class RunningOperation:
+    """An operation that the shell is running."""
+
+    operation_id: int
+    group: str
+    server: str
+    connection_id: int
+    term: int
+    started_at: timedelta
+    work: Work | None
+    vector: LogVector = LogVector()
+
+
+@dataclass(frozen=True, slots=True)
+class FingerprintStatistics:
+    """How long statements of one shape take, in seconds."""
+
+    mean_seconds: float
+
+
+@dataclass(frozen=True, slots=True)
+class AdminCall:
+    """An administrative action that the shell is running."""
+
+    group: str
+    server: str
+    purpose: str
+    started_at: timedelta
+    origin: Instance | None = None
--- a/src/burdocksail/node/_handover.py
+++ b/src/burdocksail/node/_handover.py
@@ -7,16 +7,9 @@
 
 from burdocksail.core import Instance, WorkClass, rank_instances, seconds
 from burdocksail.node import _leadership, _lease, _placement, _runtime, _work
-from burdocksail.node._board import (
-    Blackboard,
-    GroupRuntime,
-    Hold,
-    Leadership,
-    Phase,
-    Role,
-    WorkState,
-)
+from burdocksail.node._board import Blackboard, Leadership, Role
 from burdocksail.node._effects import Send
+from burdocksail.node._groups import GroupRuntime, Hold, Phase, WorkState
 from burdocksail.node._messages import Ballot, HandOver, HandOverAccepted
 from burdocksail.node._status import StatusError, decode_status, encode_status
 
--- a/src/burdocksail/node/_invariants.py
+++ b/src/burdocksail/node/_invariants.py
@@ -12,14 +12,8 @@
     StatementKind,
 )
 from burdocksail.node import _lease
-from burdocksail.node._board import (
-    Blackboard,
-    GroupRuntime,
-    Phase,
-    ServerState,
-    Work,
-    WorkState,
-)
+from burdocksail.node._board import Blackboard
+from burdocksail.node._groups import GroupRuntime, Phase, ServerState, Work, WorkState
 
 
 class InvariantError(BurdocksailError):
--- a/src/burdocksail/node/_node.py
+++ b/src/burdocksail/node/_node.py
@@ -30,7 +30,7 @@
     _transactions,
     _work,
 )
-from burdocksail.node._board import Blackboard, GroupRuntime
+from burdocksail.node._board import Blackboard
 from burdocksail.node._dump import dump_board
 from burdocksail.node._effects import Effect
 from burdocksail.node._events import (
@@ -49,6 +49,7 @@
     UpstreamClosed,
     UpstreamConnected,
 )
+from burdocksail.node._groups import GroupRuntime
 from burdocksail.node._messages import (
     AskLease,
     ConfigurationChanges,
--- a/src/burdocksail/node/_outcomes.py
+++ b/src/burdocksail/node/_outcomes.py
@@ -16,17 +16,16 @@
     StatementKind,
 )
 from burdocksail.node import _admission, _invariants, _routing
-from burdocksail.node._board import (
-    Blackboard,
+from burdocksail.node._board import Blackboard, LocalAnswer
+from burdocksail.node._effects import RunOperation, Send
+from burdocksail.node._groups import (
     GroupRuntime,
-    LocalAnswer,
     Phase,
     RunningOperation,
     ServerState,
     Work,
     WorkState,
 )
-from burdocksail.node._effects import RunOperation, Send
 from burdocksail.node._messages import ForwardAnswer, NotLeader
 from burdocksail.node._upstream import Operation, OperationMode, OperationResult
 from burdocksail.records import AcknowledgeAfter
--- a/src/burdocksail/node/_promotion.py
+++ b/src/burdocksail/node/_promotion.py
@@ -13,20 +13,19 @@
 
 from burdocksail.core import Instance, LogVector, seconds
 from burdocksail.node import _admin_calls, _handover, _lease, _routing, _work
-from burdocksail.node._board import (
+from burdocksail.node._board import Blackboard, Role
+from burdocksail.node._effects import RunAdmin, Send
+from burdocksail.node._events import AdminFinished
+from burdocksail.node._groups import (
     AdminCall,
-    Blackboard,
     GroupRuntime,
     Hold,
     Phase,
     PrimarySample,
     Promotion,
     PromotionStep,
-    Role,
     ServerState,
 )
-from burdocksail.node._effects import RunAdmin, Send
-from burdocksail.node._events import AdminFinished
 from burdocksail.node._messages import ProbeServer, ServerProbed
 from burdocksail.node._upstream import (
     AdminAction,
--- a/src/burdocksail/node/_routing.py
+++ b/src/burdocksail/node/_routing.py
@@ -16,12 +16,8 @@
     seconds,
 )
 from burdocksail.node import _admission
-from burdocksail.node._board import (
-    Blackboard,
-    GroupRuntime,
-    ServerState,
-    Work,
-)
+from burdocksail.node._board import Blackboard
+from burdocksail.node._groups import GroupRuntime, ServerState, Work
 from burdocksail.records import Group
 
 OTHER_DOMAIN_PENALTY_SECONDS = 0.001
--- a/src/burdocksail/node/_runtime.py
+++ b/src/burdocksail/node/_runtime.py
@@ -1,8 +1,9 @@
 """Start and end of the use of a group that this instance leads."""
 
 from burdocksail.node import _work
-from burdocksail.node._board import Blackboard, GroupRuntime, Phase, ServerState
+from burdocksail.node._board import Blackboard
 from burdocksail.node._effects import CloseConnection
+from burdocksail.node._groups import GroupRuntime, Phase, ServerState
 
 
 def open_runtime(board: Blackboard, group_name: str) -> None:
--- a/src/burdocksail/node/_servers.py
+++ b/src/burdocksail/node/_servers.py
@@ -10,15 +10,15 @@
 
 from burdocksail.core import LogVector, seconds
 from burdocksail.node import _admin_calls, _promotion, _routing, _work
-from burdocksail.node._board import (
+from burdocksail.node._board import Blackboard
+from burdocksail.node._events import AdminFinished
+from burdocksail.node._groups import (
     AdminCall,
-    Blackboard,
     GroupRuntime,
     Phase,
     PrimarySample,
     ServerState,
 )
-from burdocksail.node._events import AdminFinished
 from burdocksail.node._upstream import (
     AwaitPosition,
     InspectServer,
--- a/src/burdocksail/node/_transactions.py
+++ b/src/burdocksail/node/_transactions.py
@@ -14,8 +14,9 @@
     seconds,
 )
 from burdocksail.node import _connections, _outcomes
-from burdocksail.node._board import (
-    Blackboard,
+from burdocksail.node._board import Blackboard
+from burdocksail.node._effects import RunOperation
+from burdocksail.node._groups import (
     ConnectionUse,
     GroupRuntime,
     RunningOperation,
@@ -24,7 +25,6 @@
     Work,
     WorkState,
 )
-from burdocksail.node._effects import RunOperation
 from burdocksail.node._upstream import (
     Operation,
     OperationMode,
--- a/src/burdocksail/node/_work.py
+++ b/src/burdocksail/node/_work.py
@@ -27,8 +27,13 @@
     _routing,
     _transactions,
 )
-from burdocksail.node._board import (
-    Blackboard,
+from burdocksail.node._board import Blackboard
+from burdocksail.node._events import (
+    OperationFinished,
+    UpstreamClosed,
+    UpstreamConnected,
+)
+from burdocksail.node._groups import (
     ConnectionUse,
     GroupRuntime,
     Hold,
@@ -38,11 +43,6 @@
     Work,
     WorkState,
 )
-from burdocksail.node._events import (
-    OperationFinished,
-    UpstreamClosed,
-    UpstreamConnected,
-)
 from burdocksail.node._upstream import OperationResult, OperationStatus
 from burdocksail.records import Group
 
