--- /dev/null
+++ b/src/burdocksail/agent/_instance.py
@@ -0,0 +1,199 @@
+"""Puts all controllers of one instance together, and stops them in order."""
+
+import asyncio
+from collections.abc import Coroutine
+from dataclasses import dataclass
+from typing import Any
+
+import structlog
+
+from burdocksail.agent._logging import LineBuffer
+from burdocksail.agent._sessions import SessionRegistry
+from burdocksail.authority import AuthorityController
+from burdocksail.board import Blackboard
+from burdocksail.fleet import (
+    DatagramPeers,
+    Registration,
+    SnapshotExchange,
+    StoreTracker,
+)
+from burdocksail.ports import Connector, ObjectStore, Promoter, Translator
+from burdocksail.serving import Pools, Sampler, Serving
+
+FLUSH_INTERVAL = 0.2  # seconds between writes of log lines
+ROTATION_DELAY = 2.3  # seconds until a balancer that probes each second knows
+POLL_INTERVAL = 0.05  # seconds
+EXIT_MARGIN = 0.5  # seconds of the grace time kept for closing
+WITHDRAW_TIMEOUT = 0.4  # seconds
+EVIDENCE_PATIENCE = 2.0  # seconds without evidence until callers are sent elsewhere
+
+
+@dataclass(frozen=True, slots=True)
+class PeerPort:
+    """Address at which this instance takes messages of others."""
+
+    host: str
+    port: int
+
+
+class InstanceProcess:
+    """One instance: its controllers, its readiness and its graceful stop."""
+
+    def __init__(
+        self,
+        board: Blackboard,
+        store: ObjectStore,
+        translator: Translator,
+        connector: Connector,
+        promoter: Promoter,
+        peer_port: PeerPort,
+        log_buffer: LineBuffer,
+    ):
+        self.board = board
+        self.sessions = SessionRegistry()
+        self._peer_port = peer_port
+        self._log_buffer = log_buffer
+        self._pools = Pools(board, connector)
+        self.serving = Serving(board, self._pools)
+        self._peers = DatagramPeers(
+            lambda message, address: self._authority.handle_message(message, address),
+            lambda: self._snapshots.take(),
+            self._report_malformed,
+        )
+        self._tracker = StoreTracker(
+            board, store, translator, lambda stored: self._authority.take_record(stored)
+        )
+        self._snapshots = SnapshotExchange(board, self._peers, self._tracker)
+        self._authority = AuthorityController(
+            board, store, self._peers, connector, promoter, self._snapshots
+        )
+        self._registration = Registration(board, store)
+        self._sampler = Sampler(board, self._pools)
+        self._tasks: set[asyncio.Task] = set()
+        self._log = structlog.get_logger()
+
+    @property
+    def is_ready(self) -> bool:
+        """Return whether callers should be sent here."""
+        board = self.board
+        if board.stop.requested or board.catalog.catalog is None:
+            return False
+        if board.directory.revision == 0 or not board.authority.groups:
+            return False
+        return board.now() < board.authority.evidence_until + EVIDENCE_PATIENCE
+
+    async def start(self) -> None:
+        """Begin all work of this instance."""
+        self._log.info("started", incarnation=self.board.member.incarnation)
+        await self._peers.open(self._peer_port.host, self._peer_port.port)
+        for work in (
+            self._tracker.follow_catalog(),
+            self._tracker.follow_upstreams(),
+            self._tracker.follow_fleet(),
+            self._tracker.sweep_missing(),
+            self._snapshots.bootstrap(),
+            self._snapshots.keep_up(),
+            self._registration.keep(),
+            self._authority.follow(),
+            self._authority.claim_when_needed(),
+            self._sampler.run(),
+            self._flush_logs(),
+        ):
+            self._spawn(work)
+
+    async def stop(self, grace: float) -> None:
+        """Stop without cutting a request, within `grace` seconds.
+
+        New callers still arrive until the balancer has noticed; idle sessions
+        are closed only then, so that they do not come back here.
+        """
+        board = self.board
+        if board.stop.requested:
+            return
+        started = board.now()
+        board.stop.requested_at = started
+        board.stop.transactions_end_at = started + grace / 2
+        board.changed.notify()
+        self._log.info("stopping", sessions=len(self.sessions), grace=grace)
+        self._authority.leave()
+        await asyncio.sleep(min(ROTATION_DELAY, grace / 2))
+        while self.sessions and board.now() < started + grace - EXIT_MARGIN:
+            self.sessions.end_idle()
+            await asyncio.sleep(POLL_INTERVAL)
+        self.sessions.end_all()
+        self._authority.say_farewell()
+        await self._withdraw()
+        self._pools.close()
+        self._log.info("stopped", took=round(board.now() - started, 3))
+        self._log_buffer.flush()
+
+    def note_reload(self) -> None:
+        """Note that the settings have changed.
+
+        Nothing that this instance holds depends on a changed setting: addresses
+        stay while it runs, and everything else comes from the store.
+        """
+        self._log.info("settings changed")
+
+    def describe(self) -> dict[str, Any]:
+        """Return the state of this instance for the dump."""
+        board = self.board
+        authority = board.authority
+        now = board.now()
+        catalog = board.catalog.catalog
+        return {
+            "instance": board.member.name,
+            "incarnation": board.member.incarnation,
+            "ready": self.is_ready,
+            "stopping": board.stop.requested,
+            "catalog_version": None if catalog is None else catalog.version,
+            "directory_revision": board.directory.revision,
+            "store_works": board.store.works,
+            "epoch": authority.epoch,
+            "leader": None if authority.leader is None else authority.leader.name,
+            "leading": self._authority.is_leading(),
+            "evidence_left": round(max(0.0, authority.evidence_until - now), 3),
+            "groups": {
+                view.service_name: {
+                    "primary": view.primary_id,
+                    "change": view.change,
+                    "state": view.state.value,
+                }
+                for view in authority.groups.values()
+            },
+            "unreachable": sorted(authority.unreachable),
+            "sessions": len(self.sessions),
+            "open_transactions": self.serving.open_transactions,
+            "instances_alive": board.members.alive,
+            "upstreams": self._pools.describe(),
+        }
+
+    async def _withdraw(self) -> None:
+        try:
+            async with asyncio.timeout(WITHDRAW_TIMEOUT):
+                await self._registration.withdraw()
+        except TimeoutError:
+            self._log.warning("registration not withdrawn", reason="no answer in time")
+
+    async def _flush_logs(self) -> None:
+        while True:
+            self._log_buffer.flush()
+            await asyncio.sleep(FLUSH_INTERVAL)
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._finish)
+
+    def _finish(self, task: asyncio.Task) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self._log.critical("controller failed", error=repr(task.exception()))
+            self._log_buffer.flush()
+            # A process without one of its controllers would go on with stale
+            # knowledge; the platform starts a whole one.
+            raise SystemExit(1)
+
+    def _report_malformed(self, address: tuple[str, int], error: Exception) -> None:
+        self.board.metrics.count("messages_malformed")
+        self._log.warning("malformed message", peer=str(address), reason=str(error))
--- /dev/null
+++ b/src/burdocksail/authority/_change.py
@@ -0,0 +1,279 @@
+"""A change of primary, from the record of it to the opening of the group.
+
+The steps: record the change, hold or close the group, make sure that nobody
+can still acknowledge work of the old primary, choose the replica that has
+received most, order its promotion, wait until it leads, open the group.
+"""
+
+import asyncio
+from dataclasses import replace
+
+import structlog
+
+from burdocksail.authority._inspection import Inspected, Inspector
+from burdocksail.authority._leadership import Leadership, LeadershipLost
+from burdocksail.authority._limits import (
+    ORDER_LIMIT,
+    ORDER_START_LIMIT,
+)
+from burdocksail.board import Blackboard, GroupState, GroupView
+from burdocksail.catalog import Upstream, UpstreamState
+from burdocksail.core import BurdocksailError, LogPosition
+from burdocksail.ports import (
+    Connector,
+    Promoter,
+    PromotionRefused,
+    PromotionUnknown,
+    ServerStatus,
+)
+
+HOLD_LIMIT = 0.8  # seconds for work in flight to end before a planned change
+STEP_DOWN_TIMEOUT = 0.5  # seconds
+INSPECT_TIMEOUT = 0.7  # seconds
+CATCH_UP_LIMIT = 1.0  # seconds for a replica to receive the old primary's last
+SETTLE_INTERVAL = 0.06  # seconds; commits on their way to replicas arrive
+LEAD_LIMIT = ORDER_LIMIT + 2.0  # seconds from the order until the server must lead
+POLL_INTERVAL = 0.04  # seconds
+
+
+class ChangeFailed(BurdocksailError):
+    """A change of primary did not come to its end; it has to start anew."""
+
+
+class PrimaryChange:
+    """One change of the primary of one service.
+
+    Parameters
+    ----------
+    planned : bool
+        Whether the old primary is expected to answer.
+    """
+
+    def __init__(
+        self,
+        board: Blackboard,
+        leadership: Leadership,
+        connector: Connector,
+        promoter: Promoter,
+        service: str,
+        planned: bool,
+    ):
+        self._board = board
+        self._leadership = leadership
+        self._promoter = promoter
+        self._service = service
+        self._planned = planned
+        self._inspector = Inspector(connector)
+        self._old = leadership.views[service]
+        self._began_at = board.now()
+        self._recorded_at = board.now()
+        self._log = structlog.get_logger().bind(
+            service=service, epoch=leadership.epoch, fence=leadership.fence
+        )
+
+    async def run(self, reason: str) -> None:
+        """Change the primary.
+
+        Raises
+        ------
+        ChangeFailed
+            If the change has to start anew.
+        LeadershipLost, StoreUnavailable
+            If the change could not be recorded.
+        """
+        self._log.info(
+            "change of primary begun",
+            reason=reason,
+            planned=self._planned,
+            old=self._old.primary_id,
+        )
+        self._board.metrics.count("changes_begun")
+        try:
+            await self._record()
+            stepped = await self._silence_old_primary()
+            chosen = await self._choose(stepped)
+            if chosen is not None:
+                await self._promote(chosen)
+            self._open(chosen.upstream.id if chosen else self._old.primary_id)
+        finally:
+            self._inspector.close()
+
+    async def _record(self) -> None:
+        leadership = self._leadership
+        inherited = self._service in leadership.inherited_changes
+        leadership.changing.add(self._service)
+        await leadership.write_record()
+        self._recorded_at = self._board.now()
+        if inherited:
+            # An order of the leader before may still be on its way.
+            wait = leadership.started_at + ORDER_LIMIT - self._board.now()
+            await asyncio.sleep(max(0.0, wait))
+
+    async def _silence_old_primary(self) -> ServerStatus | None:
+        """Make sure that nothing of the old primary is acknowledged any more."""
+        stepped = None
+        if self._planned:
+            generation = self._set_state(GroupState.HOLDING)
+            await self._wait_for_work_in_flight(generation)
+            stepped = await self._step_down()
+        generation = self._set_state(GroupState.CLOSED)
+        if stepped is None and not self._planned:
+            stepped = await self._step_down()
+        await self._wait_until_confirmed(generation)
+        return stepped
+
+    async def _wait_for_work_in_flight(self, generation: int) -> None:
+        leadership = self._leadership
+        end = self._board.now() + HOLD_LIMIT
+        while self._board.now() < end:
+            busy = leadership.grantees.find_busy(self._service, self._board.now())
+            own = self._board.authority.in_flight.get(self._service, 0)
+            if not busy and not own and not leadership.find_unconfirmed(generation):
+                return
+            await asyncio.sleep(POLL_INTERVAL)
+
+    async def _step_down(self) -> ServerStatus | None:
+        old = self._board.directory.upstreams.get(self._old.primary_id)
+        if old is None:
+            return None
+        timeout = STEP_DOWN_TIMEOUT if self._planned else STEP_DOWN_TIMEOUT / 2
+        status = await self._inspector.inspect(old, timeout)
+        if status is None or not status.is_primary:
+            return status
+        stepped = await self._inspector.step_down(old, status.term + 1, timeout)
+        self._log.info("old primary asked to step down", confirmed=stepped is not None)
+        return stepped
+
+    async def _wait_until_confirmed(self, generation: int) -> None:
+        leadership = self._leadership
+        logged: list[str] | None = None
+        while True:
+            if leadership.over:
+                raise LeadershipLost("leadership ended during a change")
+            silent = leadership.find_unconfirmed(generation)
+            if not silent:
+                return
+            if silent != logged:
+                logged = silent
+                self._log.info("waiting for confirmation", silent=silent[:8])
+            await asyncio.sleep(POLL_INTERVAL)
+
+    async def _choose(self, stepped: ServerStatus | None) -> Inspected | None:
+        """Return the server to promote, None if the present primary stays."""
+        candidates = self._candidates()
+        if not candidates:
+            raise ChangeFailed("no server is left to promote")
+        wanted = None if stepped is None else stepped.received
+        end = self._board.now() + CATCH_UP_LIMIT
+        previous: LogPosition | None = None
+        while True:
+            states = await self._inspector.inspect_all(candidates, INSPECT_TIMEOUT)
+            incumbent = self._find_incumbent(states, len(candidates))
+            if incumbent is not None:
+                return (
+                    None
+                    if incumbent == self._old.primary_id
+                    else _only(states, incumbent)
+                )
+            replicas = [s for s in states if not self._is_leaving(s.upstream)]
+            if not replicas:
+                raise ChangeFailed("no server answers")
+            best = max(replicas, key=_rank)
+            received = best.status.received
+            settled = received == previous if wanted is None else received >= wanted
+            if settled or self._board.now() >= end:
+                return best
+            previous = received
+            await asyncio.sleep(SETTLE_INTERVAL)
+
+    def _find_incumbent(self, states: list[Inspected], asked: int) -> str | None:
+        """Return a primary that an earlier leader has already made.
+
+        Only if every server has answered: a primary of a later term could be
+        the one that is silent.
+        """
+        inherited = self._service in self._leadership.inherited_changes
+        if not inherited or len(states) < asked:
+            return None
+        primaries = [s for s in states if s.status.is_primary]
+        if not primaries:
+            return None
+        newest = max(primaries, key=lambda s: s.status.term)
+        return None if self._is_leaving(newest.upstream) else newest.upstream.id
+
+    def _candidates(self) -> list[Upstream]:
+        inherited = self._service in self._leadership.inherited_changes
+        servers = self._board.directory.of_service(self._service)
+        others = [u for u in servers if u.id != self._old.primary_id]
+        return servers if inherited or not others else others
+
+    def _is_leaving(self, upstream: Upstream) -> bool:
+        current = self._board.directory.upstreams.get(upstream.id)
+        return current is None or current.state is not UpstreamState.READY
+
+    async def _promote(self, chosen: Inspected) -> None:
+        leadership = self._leadership
+        if self._board.now() > self._recorded_at + ORDER_START_LIMIT:
+            await leadership.write_record()
+            self._recorded_at = self._board.now()
+        if not leadership.has_right:
+            raise LeadershipLost("the right to order a promotion has run out")
+        target = chosen.upstream
+        self._log.info(
+            "promotion ordered",
+            upstream=target.id,
+            received=f"{chosen.status.received.term}.{chosen.status.received.sequence}",
+            waited=round(self._board.now() - self._began_at, 3),
+        )
+        # Longer than any order can take to arrive: when the target still does
+        # not lead, no order for it is on its way any more.
+        end = self._board.now() + LEAD_LIMIT
+        answered = await self._order(target)
+        while self._board.now() < end:
+            status = await self._inspector.inspect(target, INSPECT_TIMEOUT)
+            if status is not None and status.is_primary:
+                return
+            if not answered and end - self._board.now() > ORDER_LIMIT:
+                answered = await self._order(target)
+            await asyncio.sleep(POLL_INTERVAL)
+        raise ChangeFailed("the promoted server does not lead")
+
+    async def _order(self, target: Upstream) -> bool:
+        """Send the order; return whether it was answered."""
+        holder = self._board.member.name
+        try:
+            await self._promoter.promote(
+                self._service, target.id, holder, self._leadership.fence
+            )
+        except PromotionRefused as error:
+            raise ChangeFailed(f"promotion refused: {error}") from error
+        except PromotionUnknown as error:
+            self._log.warning("promotion not answered", reason=str(error))
+            return False
+        return True
+
+    def _open(self, primary_id: str) -> None:
+        leadership = self._leadership
+        if leadership.over:
+            raise LeadershipLost("leadership ended during a change")
+        # An earlier leader may have opened the group under the next number.
+        change = self._old.change + 2
+        leadership.changing.discard(self._service)
+        leadership.set_view(
+            GroupView(self._service, primary_id, change, GroupState.OPEN)
+        )
+        gap = self._board.now() - self._began_at
+        self._board.metrics.record("change_of_primary", gap)
+        self._log.info("change of primary done", primary=primary_id, took=round(gap, 3))
+
+    def _set_state(self, state: GroupState) -> int:
+        return self._leadership.set_view(replace(self._old, state=state))
+
+
+def _rank(inspected: Inspected) -> tuple[LogPosition, int]:
+    status = inspected.status
+    return (status.received, inspected.upstream.born)
+
+
+def _only(states: list[Inspected], upstream_id: str) -> Inspected:
+    return next(s for s in states if s.upstream.id == upstream_id)
--- /dev/null
+++ b/src/burdocksail/authority/_claims.py
@@ -0,0 +1,185 @@
+"""Decides when this instance claims the leadership, and claims it."""
+
+import asyncio
+from collections.abc import Callable
+
+import structlog
+
+from burdocksail.authority._limits import LEADER_SILENCE, RENEW_INTERVAL
+from burdocksail.authority._record import (
+    AuthorityRecord,
+    GroupRecord,
+    RecordError,
+    decode_record,
+    encode_record,
+)
+from burdocksail.board import Blackboard
+from burdocksail.catalog import UpstreamRole
+from burdocksail.fleet import AUTHORITY_NAME, LeaderQuery, LeaderReport, Peers
+from burdocksail.ports import (
+    Kind,
+    ObjectStore,
+    StoreConflict,
+    StoredObject,
+    StoreUnavailable,
+)
+
+POLL_INTERVAL = 0.1  # seconds
+REPORT_WAIT = 0.2  # seconds; several round trips across regions
+RANK_DELAY = 0.15  # seconds between instances that would claim together
+LONELY_SILENCE = 4.0  # seconds of silence of everybody before claiming alone
+
+ClaimTaken = Callable[[StoredObject, float], None]
+
+
+class Claimant:
+    """Claims the leadership if there is no leader, or if the leader is silent.
+
+    Parameters
+    ----------
+    take_claim : callable
+        Called with the record's object and the instant before the claim.
+    """
+
+    def __init__(
+        self,
+        board: Blackboard,
+        store: ObjectStore,
+        peers: Peers,
+        take_claim: ClaimTaken,
+        is_leading: Callable[[], bool],
+    ):
+        self._board = board
+        self._store = store
+        self._peers = peers
+        self._take_claim = take_claim
+        self._is_leading = is_leading
+        self._reports: dict[str, bool] = {}
+        self._asked_over = False
+        self._record_seen = False
+        self._started_at = board.now()
+        self._log = structlog.get_logger()
+
+    def handle_report(self, report: LeaderReport) -> None:
+        """Note whether a peer hears from the leader."""
+        self._reports[report.member.name] = report.hears_leader
+
+    def request(self) -> None:
+        """Claim at the leader's own wish."""
+        self._asked_over = True
+
+    async def run(self) -> None:
+        """Watch for the need of a claim, for ever."""
+        while True:
+            await asyncio.sleep(POLL_INTERVAL)
+            if self._is_leading() or self._board.stop.requested:
+                self._asked_over = False
+                continue
+            if self._board.directory.revision == 0:
+                continue
+            if await self._is_needed():
+                await self._claim()
+
+    async def _is_needed(self) -> bool:
+        if self._asked_over:
+            return True
+        authority = self._board.authority
+        if authority.leader is None:
+            return await self._is_first_claim_due()
+        if authority.leader.address == self._board.member.address:
+            return True  # An earlier incarnation of this instance led.
+        silence = self._silence()
+        if silence < LEADER_SILENCE + self._rank() * RANK_DELAY:
+            return False
+        return await self._do_peers_agree(silence)
+
+    async def _is_first_claim_due(self) -> bool:
+        if self._record_seen or not self._board.store.works:
+            return False
+        await asyncio.sleep(self._rank() * RANK_DELAY)
+        return self._board.authority.leader is None
+
+    def _silence(self) -> float:
+        last = self._board.authority.last_grant
+        return self._board.now() - (self._started_at if last is None else last)
+
+    def _rank(self) -> int:
+        """Return this instance's place among those that could claim."""
+        names = sorted(m.name for m in self._board.members.registered.values())
+        own = self._board.member.name
+        return names.index(own) if own in names else len(names)
+
+    async def _do_peers_agree(self, silence: float) -> bool:
+        """Return whether nobody else hears from the leader either."""
+        board = self._board
+        self._reports.clear()
+        query = LeaderQuery(board.member, board.authority.epoch)
+        leader = board.authority.leader
+        others = board.members.addresses() - {board.member.address}
+        if leader is not None:
+            others.discard(leader.address)
+        for address in others:
+            self._peers.send(address, query)
+        await asyncio.sleep(REPORT_WAIT)
+        if self._silence() < silence:
+            return False
+        if self._reports:
+            return not any(self._reports.values())
+        return not others or silence > LONELY_SILENCE
+
+    async def _claim(self) -> None:
+        board = self._board
+        asked_over, self._asked_over = self._asked_over, False
+        asked_at = board.now()
+        try:
+            stored = await self._store.read(Kind.FLEET, AUTHORITY_NAME)
+            if stored is None:
+                record = self._make_first_record()
+                claimed = await self._store.create(
+                    Kind.FLEET, AUTHORITY_NAME, encode_record(record)
+                )
+            else:
+                current = decode_record(stored.spec)
+                self._record_seen = True
+                if current.leader == board.member:
+                    self._take_claim(stored, asked_at)
+                    return
+                if current.epoch > board.authority.epoch and not self._is_dead(current):
+                    self._follow(current)
+                    return
+                record = current.claimed_by(board.member)
+                claimed = await self._store.replace(
+                    Kind.FLEET, AUTHORITY_NAME, encode_record(record), stored.revision
+                )
+        except StoreConflict:
+            self._log.info("claim lost to another instance")
+            return
+        except RecordError as error:
+            self._log.error("record unreadable", reason=str(error))
+            return
+        except StoreUnavailable as error:
+            self._log.warning("claim not written", reason=str(error))
+            await asyncio.sleep(RENEW_INTERVAL)
+            return
+        self._log.info("leadership claimed", epoch=record.epoch, asked_over=asked_over)
+        self._take_claim(claimed, asked_at)
+
+    def _is_dead(self, record: AuthorityRecord) -> bool:
+        """Return whether the recorded leader is an ended run of this instance."""
+        return record.leader.address == self._board.member.address
+
+    def _follow(self, record: AuthorityRecord) -> None:
+        authority = self._board.authority
+        authority.last_grant = self._board.now()
+        self._log.info("leader found", epoch=record.epoch, leader=record.leader.name)
+        authority.epoch = record.epoch
+        authority.leader = record.leader
+        authority.generation = 0
+        authority.evidence_until = float("-inf")
+
+    def _make_first_record(self) -> AuthorityRecord:
+        groups = {}
+        for upstream in self._board.directory.upstreams.values():
+            if upstream.role is UpstreamRole.PRIMARY:
+                groups[upstream.service] = GroupRecord(upstream.id, 1, changing=False)
+        return AuthorityRecord(1, self._board.member, (), groups)
--- /dev/null
+++ b/src/burdocksail/authority/_controller.py
@@ -0,0 +1,156 @@
+"""Puts the parts of authority together for one instance."""
+
+import asyncio
+
+import structlog
+
+from burdocksail.authority._claims import Claimant
+from burdocksail.authority._follower import Follower
+from burdocksail.authority._leadership import Leadership
+from burdocksail.authority._record import RecordError, decode_record
+from burdocksail.authority._watchdog import Watchdog
+from burdocksail.board import Blackboard
+from burdocksail.fleet import (
+    Address,
+    Farewell,
+    Grant,
+    LeaderQuery,
+    LeaderReport,
+    Message,
+    NotLeader,
+    Peers,
+    Renew,
+    SnapshotExchange,
+    TakeOver,
+)
+from burdocksail.ports import Connector, ObjectStore, Promoter, StoredObject
+
+
+class AuthorityController:
+    """Follows the leader, and leads when this instance has claimed it."""
+
+    def __init__(
+        self,
+        board: Blackboard,
+        store: ObjectStore,
+        peers: Peers,
+        connector: Connector,
+        promoter: Promoter,
+        snapshots: SnapshotExchange,
+    ):
+        self._board = board
+        self._store = store
+        self._peers = peers
+        self._connector = connector
+        self._promoter = promoter
+        self._snapshots = snapshots
+        self._follower = Follower(board, peers, snapshots)
+        self._claimant = Claimant(
+            board, store, peers, self._begin_leadership, self.is_leading
+        )
+        self._leadership: Leadership | None = None
+        self._tasks: set[asyncio.Task] = set()
+        self._handlers = {
+            Renew: self._handle_renew,
+            Grant: self._follower.handle_grant,
+            NotLeader: lambda m, _: self._follower.handle_not_leader(m),
+            LeaderQuery: self._follower.answer_query,
+            LeaderReport: lambda m, _: self._claimant.handle_report(m),
+            TakeOver: self._handle_take_over,
+            Farewell: self._handle_farewell,
+        }
+        self._log = structlog.get_logger()
+
+    def is_leading(self) -> bool:
+        """Return whether this instance leads as far as it knows."""
+        return self._leadership is not None and not self._leadership.over
+
+    def handle_message(self, message: Message, address: Address) -> None:
+        """Take a message of another instance."""
+        self._handlers[type(message)](message, address)
+        self._end_if_replaced()
+
+    def take_record(self, stored: StoredObject) -> None:
+        """Take the authority's object as the store has it now."""
+        try:
+            record = decode_record(stored.spec)
+        except RecordError as error:
+            self._log.error("record unreadable", reason=str(error))
+            return
+        if self._leadership is not None:
+            self._leadership.note_record(stored)
+        if record.leader != self._board.member:
+            self._follower.adopt_leader(record.epoch, record.leader)
+        elif not self.is_leading() and record.epoch > self._board.authority.epoch:
+            # The answer to this instance's own claim was lost.
+            self._begin_leadership(stored, self._board.now())
+
+    async def follow(self) -> None:
+        """Renew evidence for ever."""
+        await self._follower.renew_evidence()
+
+    async def claim_when_needed(self) -> None:
+        """Watch for the need of a claim for ever."""
+        await self._claimant.run()
+
+    def leave(self) -> None:
+        """Hand the leadership over, as this instance stops."""
+        if self._leadership is not None and self.is_leading():
+            self._leadership.ask_to_take_over("stopping")
+
+    def say_farewell(self) -> None:
+        """Drop the evidence for good."""
+        self._follower.say_farewell()
+
+    def _begin_leadership(self, stored: StoredObject, asked_at: float) -> None:
+        if self._leadership is not None:
+            self._leadership.end("claimed again")
+        leadership = Leadership(
+            self._board, self._store, self._peers, self._follower, stored, asked_at
+        )
+        self._leadership = leadership
+        leadership.begin()
+        watchdog = Watchdog(self._board, leadership, self._connector, self._promoter)
+        self._spawn(leadership.list_instances())
+        self._spawn(leadership.keep_right())
+        self._spawn(watchdog.run())
+
+    def _spawn(self, work) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._finish)
+
+    def _finish(self, task: asyncio.Task) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self._log.error("task failed", error=repr(task.exception()))
+            if self._leadership is not None:
+                self._leadership.end("a task failed")
+
+    def _handle_renew(self, renewal: Renew, address: Address) -> None:
+        self._snapshots.compare(
+            address, renewal.catalog_version, renewal.directory_revision
+        )
+        if self.is_leading():
+            self._leadership.handle_renewal(renewal)
+            return
+        authority = self._board.authority
+        leader = authority.leader
+        answer = NotLeader(self._board.member, authority.epoch, leader)
+        self._peers.send(address, answer)
+
+    def _handle_take_over(self, message: TakeOver, address: Address) -> None:
+        authority = self._board.authority
+        if message.epoch >= authority.epoch and not self._board.stop.requested:
+            self._claimant.request()
+
+    def _handle_farewell(self, message: Farewell, address: Address) -> None:
+        if self._leadership is not None:
+            self._leadership.grantees.drop(message.member)
+
+    def _end_if_replaced(self) -> None:
+        leadership = self._leadership
+        if leadership is None or leadership.over:
+            return
+        if self._board.authority.epoch > leadership.epoch:
+            leadership.end("a message of a later epoch arrived")
--- /dev/null
+++ b/src/burdocksail/authority/_leadership.py
@@ -0,0 +1,320 @@
+"""One leadership: its right, its view, its grants, its record in the store."""
+
+import asyncio
+
+import structlog
+
+from burdocksail.authority._follower import Follower
+from burdocksail.authority._grantees import Grantees
+from burdocksail.authority._limits import (
+    EVIDENCE_DURATION,
+    RENEW_INTERVAL,
+    RIGHT_DURATION,
+)
+from burdocksail.authority._record import (
+    AuthorityRecord,
+    GroupRecord,
+    RecordError,
+    decode_record,
+    encode_record,
+)
+from burdocksail.board import Blackboard, GroupState, GroupView
+from burdocksail.core import BurdocksailError
+from burdocksail.fleet import (
+    AUTHORITY_NAME,
+    Grant,
+    Peers,
+    Renew,
+    SharedSample,
+    TakeOver,
+)
+from burdocksail.ports import (
+    Kind,
+    ObjectStore,
+    StoreConflict,
+    StoredObject,
+    StoreUnavailable,
+)
+
+CONFIRM_INTERVAL = 1.5  # seconds; several tries fit into the leader's right
+STORE_PATIENCE = 2.5  # seconds without the store until another should lead
+SILENT_REMOVAL = 60.0  # seconds after which a silent instance's object is removed
+
+
+class LeadershipLost(BurdocksailError):
+    """Another instance leads, or may lead."""
+
+
+class Leadership:
+    """What this instance does while it leads.
+
+    Parameters
+    ----------
+    stored : StoredObject
+        The authority's object as this instance's claim left it. Its revision
+        is the fence of every order of this leadership.
+    """
+
+    def __init__(
+        self,
+        board: Blackboard,
+        store: ObjectStore,
+        peers: Peers,
+        follower: Follower,
+        stored: StoredObject,
+        asked_at: float,
+    ):
+        record = decode_record(stored.spec)
+        self.epoch = record.epoch
+        self.fence = stored.revision
+        self.started_at = board.now()
+        self.over = False
+        self.views: dict[str, GroupView] = {}
+        self.changing = {s for s, g in record.groups.items() if g.changing}
+        self.inherited_changes = frozenset(self.changing)
+        self.grantees = Grantees(self.epoch, board.now(), set(record.unsettled))
+        self._board = board
+        self._store = store
+        self._peers = peers
+        self._follower = follower
+        self._record = record
+        self._revision = stored.revision
+        self._record_lock = asyncio.Lock()
+        self._record_behind = False
+        self._generation = 0
+        self._confirmed_at = asked_at
+        self._last_takeover = float("-inf")
+        self._log = structlog.get_logger().bind(epoch=self.epoch)
+        for service, group in record.groups.items():
+            state = GroupState.CLOSED if group.changing else GroupState.OPEN
+            self.views[service] = GroupView(
+                service, group.primary_id, group.change, state
+            )
+
+    @property
+    def has_right(self) -> bool:
+        """Return whether no other instance can have promoted a server."""
+        if self.over:
+            return False
+        return self._board.now() < self._confirmed_at + RIGHT_DURATION
+
+    def begin(self) -> None:
+        """Put this leadership's view in force here and tell everybody."""
+        self._log.info(
+            "leadership begun",
+            fence=self.fence,
+            unsettled=[m.name for m in self.grantees.unsettled],
+            changing=sorted(self.changing),
+        )
+        self._board.metrics.count("leaderships")
+        self._follower.adopt_leader(self.epoch, self._board.member)
+        self.publish()
+        self.grant_to_self()
+
+    def end(self, reason: str) -> None:
+        """Stop granting for good."""
+        if not self.over:
+            self.over = True
+            self._log.info("leadership ended", reason=reason)
+
+    def set_view(self, view: GroupView) -> int:
+        """Change the view of one group; return the generation that holds it."""
+        self.views[view.service_name] = view
+        self.publish()
+        return self._generation
+
+    def publish(self) -> None:
+        """Put the view in force here and push it to every instance."""
+        self._generation += 1
+        groups = tuple(self.views.values())
+        self._follower.apply_view(self.epoch, self._generation, groups)
+        grant = self._make_grant(echo=0.0, extends=False)
+        for address in self._addresses():
+            self._peers.send(address, grant)
+
+    def handle_renewal(self, renewal: Renew) -> None:
+        """Answer a renewal with the view, and with evidence if that is safe."""
+        now = self._board.now()
+        grantee = self.grantees.take_renewal(renewal, now)
+        known = renewal.member.address in self._addresses()
+        extends = self.has_right and known and renewal.epoch <= self.epoch
+        if extends:
+            grantee.granted_until = now + EVIDENCE_DURATION
+        self._peers.send(
+            renewal.member.address, self._make_grant(renewal.sent_at, extends)
+        )
+
+    def grant_to_self(self) -> None:
+        """Extend the leader's own evidence, never past its right."""
+        board = self._board
+        if self.has_right:
+            right_ends = self._confirmed_at + RIGHT_DURATION
+            until = min(board.now() + EVIDENCE_DURATION, right_ends)
+            self._follower.extend_evidence(until)
+            board.authority.last_grant = board.now()
+        board.members.alive = 1 + len(self.grantees.fresh(board.now()))
+
+    def find_unconfirmed(self, generation: int) -> list[str]:
+        """Return who may act on a view older than `generation`."""
+        addresses = {m.address for m in self._board.members.registered.values()}
+        addresses.discard(self._board.member.address)
+        return self.grantees.find_unconfirmed(generation, addresses, self._board.now())
+
+    async def list_instances(self) -> None:
+        """Read the registered instances anew, to know who may hold evidence."""
+        while not self.over and not self.grantees.listed:
+            try:
+                listing = await self._store.list(Kind.FLEET)
+            except StoreUnavailable:
+                await asyncio.sleep(RENEW_INTERVAL)
+                continue
+            members = self._board.members.registered
+            for stored in listing.items:
+                if stored.name not in members and stored.name != AUTHORITY_NAME:
+                    self._log.info("instance listed", name=stored.name)
+            self.grantees.listed = all(
+                stored.name in members or stored.name == AUTHORITY_NAME
+                for stored in listing.items
+            )
+            if not self.grantees.listed:
+                await asyncio.sleep(RENEW_INTERVAL)
+
+    async def keep_right(self) -> None:
+        """Confirm the record in the store until the leadership is over."""
+        while not self.over:
+            try:
+                if self._record_behind:
+                    await self.write_record()
+                else:
+                    await self._confirm()
+            except (StoreUnavailable, LeadershipLost) as error:
+                self._log.warning("record not confirmed", reason=str(error))
+            self._hand_over_if_needed()
+            await asyncio.sleep(CONFIRM_INTERVAL)
+
+    async def write_record(self) -> None:
+        """Write the views and running changes to the store.
+
+        Raises
+        ------
+        LeadershipLost
+            If another instance leads.
+        StoreUnavailable
+            If it is not known whether the record was written.
+        """
+        async with self._record_lock:
+            self._record_behind = True
+            record = self._compose_record()
+            asked_at = self._board.now()
+            try:
+                stored = await self._store.replace(
+                    Kind.FLEET, AUTHORITY_NAME, encode_record(record), self._revision
+                )
+            except StoreConflict:
+                await self._confirm()
+                stored = await self._replace_again(record)
+            self._record = record
+            self._revision = stored.revision
+            self._confirmed_at = asked_at
+            self._record_behind = False
+
+    def note_record(self, stored: StoredObject) -> None:
+        """End if a record read elsewhere names another leader."""
+        try:
+            record = decode_record(stored.spec)
+        except RecordError as error:
+            self._log.error("record unreadable", reason=str(error))
+            return
+        if record.epoch > self.epoch:
+            self.end(f"epoch {record.epoch} is led by {record.leader.name}")
+
+    def ask_to_take_over(self, reason: str) -> None:
+        """Ask another instance to claim the leadership."""
+        now = self._board.now()
+        if now - self._last_takeover < 2 * RENEW_INTERVAL:
+            return
+        candidates = [
+            g.member
+            for g in self.grantees.fresh(now)
+            if g.renewal.store_works and not g.renewal.leaving
+        ]
+        if not candidates:
+            return
+        self._last_takeover = now
+        chosen = min(candidates, key=lambda member: member.name)
+        self._log.info("takeover asked for", reason=reason, by=chosen.name)
+        self._peers.send(chosen.address, TakeOver(self._board.member, self.epoch))
+
+    async def _replace_again(self, record: AuthorityRecord) -> StoredObject:
+        try:
+            return await self._store.replace(
+                Kind.FLEET, AUTHORITY_NAME, encode_record(record), self._revision
+            )
+        except StoreConflict as error:
+            raise LeadershipLost("the record changed twice") from error
+
+    async def _confirm(self) -> None:
+        asked_at = self._board.now()
+        stored = await self._store.read(Kind.FLEET, AUTHORITY_NAME)
+        if stored is None:
+            self.end("the record is gone")
+            raise LeadershipLost("the record is gone")
+        record = decode_record(stored.spec)
+        if record.epoch != self.epoch or record.leader != self._board.member:
+            self._follower.adopt_leader(record.epoch, record.leader)
+            self.end(f"epoch {record.epoch} is led by {record.leader.name}")
+            raise LeadershipLost(f"{record.leader.name} leads")
+        self._revision = stored.revision
+        self._confirmed_at = asked_at
+
+    def _compose_record(self) -> AuthorityRecord:
+        groups = {
+            view.service_name: GroupRecord(
+                view.primary_id, view.change, view.service_name in self.changing
+            )
+            for view in self.views.values()
+        }
+        return AuthorityRecord(
+            self.epoch,
+            self._board.member,
+            tuple(sorted(self.grantees.unsettled, key=lambda m: m.name)),
+            groups,
+        )
+
+    def _hand_over_if_needed(self) -> None:
+        board = self._board
+        if board.stop.requested:
+            self.ask_to_take_over("stopping")
+        elif board.now() - self._confirmed_at > STORE_PATIENCE:
+            self.ask_to_take_over("the store does not answer here")
+
+    def _addresses(self) -> set[tuple[str, int]]:
+        return self._board.members.addresses() - {self._board.member.address}
+
+    def _make_grant(self, echo: float, extends: bool) -> Grant:
+        board = self._board
+        now = board.now()
+        catalog = board.catalog.catalog
+        samples = []
+        for view in self.views.values():
+            taken = board.samples.of(view.service_name)
+            if extends and taken and taken[-1].change == view.change:
+                last = taken[-1]
+                samples.append(
+                    SharedSample(
+                        view.service_name, view.change, last.position, now - last.asked_at
+                    )
+                )
+        return Grant(
+            leader=board.member,
+            epoch=self.epoch,
+            generation=self._generation,
+            echo=echo,
+            extends_evidence=extends,
+            groups=tuple(self.views.values()),
+            alive=1 + len(self.grantees.fresh(now)),
+            catalog_version=0 if catalog is None else catalog.version,
+            directory_revision=board.directory.revision,
+            store_works=board.store.works,
+            samples=tuple(samples),
+        )
--- /dev/null
+++ b/src/burdocksail/authority/_record.py
@@ -0,0 +1,107 @@
+"""The authority's object in the store: who leads, and who is primary."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, replace
+from typing import Any
+
+from burdocksail.board import Member
+from burdocksail.core import BurdocksailError
+from burdocksail.fleet import encode_member
+
+SCHEMA_VERSION = 1
+UNSETTLED_KEPT = 8  # leaders that follow each other within a few seconds
+
+
+class RecordError(BurdocksailError):
+    """The authority's object is malformed."""
+
+
+@dataclass(frozen=True, slots=True)
+class GroupRecord:
+    """Primary of a service.
+
+    Attributes
+    ----------
+    change : int
+        Number of changes of primary so far.
+    changing : bool
+        Whether an order to promote may be on its way.
+    """
+
+    primary_id: str
+    change: int
+    changing: bool
+
+
+@dataclass(frozen=True, slots=True)
+class AuthorityRecord:
+    """Content of the authority's object.
+
+    Attributes
+    ----------
+    epoch : int
+        Raised by every claim of the leadership.
+    unsettled : tuple of Member
+        Earlier leaders that may not have noticed that they were replaced.
+    """
+
+    epoch: int
+    leader: Member
+    unsettled: tuple[Member, ...]
+    groups: Mapping[str, GroupRecord]
+
+    def with_group(self, service: str, group: GroupRecord) -> "AuthorityRecord":
+        """Return the record with one group replaced."""
+        return replace(self, groups={**self.groups, service: group})
+
+    def claimed_by(self, member: Member) -> "AuthorityRecord":
+        """Return the record after `member` has taken the leadership."""
+        earlier = [m for m in (self.leader, *self.unsettled) if m != member]
+        return AuthorityRecord(
+            epoch=self.epoch + 1,
+            leader=member,
+            unsettled=tuple(dict.fromkeys(earlier))[:UNSETTLED_KEPT],
+            groups=self.groups,
+        )
+
+
+def encode_record(record: AuthorityRecord) -> dict[str, Any]:
+    """Return the JSON form of a record."""
+    return {
+        "schema_version": SCHEMA_VERSION,
+        "epoch": record.epoch,
+        "leader": encode_member(record.leader),
+        "unsettled": [encode_member(member) for member in record.unsettled],
+        "groups": {
+            service: {
+                "primary_id": group.primary_id,
+                "change": group.change,
+                "changing": group.changing,
+            }
+            for service, group in record.groups.items()
+        },
+    }
+
+
+def decode_record(spec: Mapping[str, Any]) -> AuthorityRecord:
+    """Return the record in an object.
+
+    Raises
+    ------
+    RecordError
+        If the object is malformed or of another schema version.
+    """
+    try:
+        if spec["schema_version"] != SCHEMA_VERSION:
+            raise RecordError(f"schema version {spec['schema_version']} is unknown")
+        return AuthorityRecord(
+            epoch=int(spec["epoch"]),
+            leader=Member(**spec["leader"]),
+            unsettled=tuple(Member(**member) for member in spec["unsettled"]),
+            groups={
+                service: GroupRecord(**group)
+                for service, group in spec["groups"].items()
+            },
+        )
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise RecordError(f"malformed authority record: {error}") from error
--- /dev/null
+++ b/src/burdocksail/authority/_watchdog.py
@@ -0,0 +1,165 @@
+"""Decides, while this instance leads, which groups need another primary."""
+
+import asyncio
+from enum import Enum
+
+import structlog
+
+from burdocksail.authority._change import ChangeFailed, PrimaryChange
+from burdocksail.authority._leadership import Leadership, LeadershipLost
+from burdocksail.board import Blackboard, GroupState, GroupView
+from burdocksail.catalog import UpstreamRole, UpstreamState
+from burdocksail.ports import Connector, Promoter, StoreUnavailable
+
+POLL_INTERVAL = 0.1  # seconds
+RETRY_DELAY = 0.3  # seconds after a change that failed
+UNREACHABLE_PATIENCE = 0.3  # seconds beyond those of the instances that report it
+PARTLY_PATIENCE = 1.5  # seconds; a short cut costs less than a change
+PARTLY_SHARE = 0.3  # of the instances; fewer are served worse than by a change
+
+
+class Need(Enum):
+    """Why a group needs another primary."""
+
+    NONE = "none"
+    LEAVING = "the primary is leaving"
+    GONE = "the primary's entry is gone"
+    UNREACHABLE = "no instance reaches the primary"
+    PARTLY_UNREACHABLE = "many instances do not reach the primary"
+    UNFINISHED = "a change was not finished"
+
+
+PLANNED = frozenset({Need.LEAVING, Need.PARTLY_UNREACHABLE})
+
+
+class Watchdog:
+    """Starts changes of primary, one at a time in each group."""
+
+    def __init__(
+        self,
+        board: Blackboard,
+        leadership: Leadership,
+        connector: Connector,
+        promoter: Promoter,
+    ):
+        self._board = board
+        self._leadership = leadership
+        self._connector = connector
+        self._promoter = promoter
+        self._running: dict[str, asyncio.Task] = {}
+        self._since: dict[tuple[str, Need], float] = {}
+        self._log = structlog.get_logger()
+
+    async def run(self) -> None:
+        """Look after all groups until the leadership is over."""
+        try:
+            while not self._leadership.over:
+                self._leadership.grant_to_self()
+                self._add_new_groups()
+                for service in list(self._leadership.views):
+                    self._look_after(service)
+                await asyncio.sleep(POLL_INTERVAL)
+        finally:
+            for task in self._running.values():
+                task.cancel()
+
+    def _add_new_groups(self) -> None:
+        """Take the only primary of a service that has no record as its own."""
+        catalog = self._board.catalog.catalog
+        for service in () if catalog is None else catalog.services:
+            if service in self._leadership.views or service in self._running:
+                continue
+            primaries = [
+                u
+                for u in self._board.directory.of_service(service)
+                if u.role is UpstreamRole.PRIMARY
+            ]
+            if len(primaries) == 1:
+                task = asyncio.create_task(self._add_group(service, primaries[0].id))
+                self._start(service, task)
+
+    async def _add_group(self, service: str, primary_id: str) -> None:
+        leadership = self._leadership
+        closed = GroupView(service, primary_id, 1, GroupState.CLOSED)
+        leadership.views[service] = closed
+        try:
+            await leadership.write_record()
+        except (StoreUnavailable, LeadershipLost) as error:
+            del leadership.views[service]
+            self._log.warning("group not recorded", service=service, reason=str(error))
+            return
+        leadership.set_view(GroupView(service, primary_id, 1, GroupState.OPEN))
+
+    def _look_after(self, service: str) -> None:
+        if service in self._running:
+            return
+        need = self._judge(service)
+        if need is Need.NONE:
+            return
+        task = asyncio.create_task(self._change(service, need))
+        self._start(service, task)
+
+    def _start(self, service: str, task: asyncio.Task) -> None:
+        self._running[service] = task
+        task.add_done_callback(lambda _: self._running.pop(service, None))
+
+    async def _change(self, service: str, need: Need) -> None:
+        change = PrimaryChange(
+            self._board,
+            self._leadership,
+            self._connector,
+            self._promoter,
+            service,
+            planned=need in PLANNED,
+        )
+        try:
+            await change.run(need.value)
+            await self._leadership.write_record()
+        except (ChangeFailed, LeadershipLost, StoreUnavailable) as error:
+            self._log.warning(
+                "change of primary not finished", service=service, reason=str(error)
+            )
+            await asyncio.sleep(RETRY_DELAY)
+
+    def _judge(self, service: str) -> Need:
+        view = self._leadership.views[service]
+        if service in self._leadership.changing:
+            return Need.UNFINISHED
+        if not self._has_successor(view):
+            return Need.NONE
+        upstream = self._board.directory.upstreams.get(view.primary_id)
+        if upstream is None:
+            return Need.GONE
+        if upstream.state is UpstreamState.DRAINING:
+            return Need.LEAVING
+        return self._judge_reachability(view)
+
+    def _judge_reachability(self, view: GroupView) -> Need:
+        now = self._board.now()
+        reports = [
+            view.service_name in g.renewal.unreachable
+            for g in self._leadership.grantees.fresh(now)
+        ]
+        reports.append(view.service_name in self._board.authority.unreachable)
+        share = sum(reports) / len(reports)
+        if share == 1.0:
+            return self._after(view, Need.UNREACHABLE, UNREACHABLE_PATIENCE)
+        self._since.pop((view.service_name, Need.UNREACHABLE), None)
+        if share >= PARTLY_SHARE:
+            return self._after(view, Need.PARTLY_UNREACHABLE, PARTLY_PATIENCE)
+        self._since.pop((view.service_name, Need.PARTLY_UNREACHABLE), None)
+        return Need.NONE
+
+    def _after(self, view: GroupView, need: Need, patience: float) -> Need:
+        now = self._board.now()
+        since = self._since.setdefault((view.service_name, need), now)
+        if now - since < patience:
+            return Need.NONE
+        self._since.pop((view.service_name, need), None)
+        return need
+
+    def _has_successor(self, view: GroupView) -> bool:
+        return any(
+            u.id != view.primary_id and u.state is UpstreamState.READY
+            for u in self._board.directory.of_service(view.service_name)
+        )
--- /dev/null
+++ b/src/burdocksail/board/__init__.py
@@ -0,0 +1,36 @@
+"""The blackboard: what one instance knows, in sections with one writer each."""
+
+from burdocksail.board._authority import (
+    AuthoritySection,
+    GroupState,
+    GroupView,
+    Sample,
+    SamplesSection,
+)
+from burdocksail.board._blackboard import Blackboard, StopSection
+from burdocksail.board._fleet import (
+    CatalogSection,
+    DirectorySection,
+    Member,
+    MembersSection,
+    StoreSection,
+)
+from burdocksail.board._metrics import Metrics
+from burdocksail.board._signal import Signal
+
+__all__ = [
+    "AuthoritySection",
+    "Blackboard",
+    "CatalogSection",
+    "DirectorySection",
+    "GroupState",
+    "GroupView",
+    "Member",
+    "MembersSection",
+    "Metrics",
+    "Sample",
+    "SamplesSection",
+    "Signal",
+    "StopSection",
+    "StoreSection",
+]
--- /dev/null
+++ b/src/burdocksail/board/_blackboard.py
@@ -0,0 +1,66 @@
+"""The blackboard itself."""
+
+from dataclasses import dataclass, field
+
+from burdocksail.board._authority import AuthoritySection, SamplesSection
+from burdocksail.board._fleet import (
+    CatalogSection,
+    DirectorySection,
+    Member,
+    MembersSection,
+    StoreSection,
+)
+from burdocksail.board._metrics import Metrics
+from burdocksail.board._signal import Signal
+from burdocksail.core import Timer
+
+
+@dataclass(slots=True)
+class StopSection:
+    """Progress of a graceful stop; written by ``agent``.
+
+    Attributes
+    ----------
+    requested_at : float or None
+        When the stop was asked for.
+    transactions_end_at : float
+        When transactions that are still open are ended.
+    """
+
+    requested_at: float | None = None
+    transactions_end_at: float = float("inf")
+
+    @property
+    def requested(self) -> bool:
+        """Return whether the process is stopping."""
+        return self.requested_at is not None
+
+
+@dataclass(slots=True)
+class Blackboard:
+    """Everything that one instance knows.
+
+    Controllers read any section and write their own; `changed` is notified
+    after a change that others may wait for.
+    """
+
+    member: Member
+    timer: Timer
+    regions: dict[str, str]
+    catalog: CatalogSection = field(default_factory=CatalogSection)
+    directory: DirectorySection = field(default_factory=DirectorySection)
+    members: MembersSection = field(default_factory=MembersSection)
+    store: StoreSection = field(default_factory=StoreSection)
+    authority: AuthoritySection = field(default_factory=AuthoritySection)
+    samples: SamplesSection = field(default_factory=SamplesSection)
+    stop: StopSection = field(default_factory=StopSection)
+    metrics: Metrics = field(default_factory=Metrics)
+    changed: Signal = field(default_factory=Signal)
+
+    def now(self) -> float:
+        """Return the timer's reading in seconds."""
+        return self.timer.read()
+
+    def region_of(self, failure_domain: str) -> str:
+        """Return the region of a failure domain, itself if it is unknown."""
+        return self.regions.get(failure_domain, failure_domain)
--- /dev/null
+++ b/src/burdocksail/board/_fleet.py
@@ -0,0 +1,97 @@
+"""Sections on the fleet: configuration, upstreams, instances, the store."""
+
+from dataclasses import dataclass, field
+
+from burdocksail.catalog import Catalog, Upstream
+from burdocksail.ports import StoredObject
+
+
+@dataclass(frozen=True, slots=True)
+class Member:
+    """One incarnation of an instance.
+
+    Attributes
+    ----------
+    incarnation : str
+        Drawn at the start of the process. Another incarnation at the same
+        address proves that this one has ended.
+    """
+
+    name: str
+    incarnation: str
+    failure_domain: str
+    host: str
+    port: int
+
+    @property
+    def address(self) -> tuple[str, int]:
+        """Return host and port for messages between instances."""
+        return (self.host, self.port)
+
+
+@dataclass(slots=True)
+class CatalogSection:
+    """Configuration in force; written by ``fleet._tracking``."""
+
+    catalog: Catalog | None = None
+    stored: StoredObject | None = None
+
+
+@dataclass(slots=True)
+class DirectorySection:
+    """Upstreams that have described themselves; written by ``fleet._tracking``.
+
+    Attributes
+    ----------
+    revision : int
+        Revision of the store up to which changes are known; 0 before the first
+        list.
+    missing_since : dict of str to float
+        Entries that the store has dropped, and when this was seen. They stay in
+        use for a moment, as an entry may lapse while its server lives.
+    """
+
+    upstreams: dict[str, Upstream] = field(default_factory=dict)
+    stored: dict[str, StoredObject] = field(default_factory=dict)
+    revision: int = 0
+    missing_since: dict[str, float] = field(default_factory=dict)
+
+    def of_service(self, service: str) -> list[Upstream]:
+        """Return the known upstreams of a service."""
+        return [u for u in self.upstreams.values() if u.service == service]
+
+
+@dataclass(slots=True)
+class MembersSection:
+    """Instances of the fleet.
+
+    Attributes
+    ----------
+    registered : dict of str to Member
+        By object name, as the store has them.
+    seeds : tuple of (str, int)
+        Addresses from the settings; may be stale.
+    alive : int
+        Number of instances that the leader hears from, itself included.
+    """
+
+    registered: dict[str, Member] = field(default_factory=dict)
+    seeds: tuple[tuple[str, int], ...] = ()
+    alive: int = 1
+
+    def addresses(self) -> set[tuple[str, int]]:
+        """Return every address at which an instance may be."""
+        return {m.address for m in self.registered.values()} | set(self.seeds)
+
+
+@dataclass(slots=True)
+class StoreSection:
+    """How the store has answered this instance; written by ``fleet``."""
+
+    last_success: float | None = None
+    failing_since: float | None = None
+
+    @property
+    def works(self) -> bool:
+        """Return whether the last call was answered."""
+        return self.last_success is not None and self.failing_since is None
--- /dev/null
+++ b/src/burdocksail/board/_metrics.py
@@ -0,0 +1,51 @@
+"""Counters and latency histograms, served as text."""
+
+from collections import Counter
+from dataclasses import dataclass, field
+
+from hdrh.histogram import HdrHistogram
+
+LOWEST_MICROSECONDS = 1
+HIGHEST_MICROSECONDS = 60_000_000  # longer than any deadline of a caller
+SIGNIFICANT_DIGITS = 1  # one digit keeps a histogram to a few kilobytes
+QUANTILES = (50.0, 90.0, 99.0)
+
+
+@dataclass(slots=True)
+class Metrics:
+    """Counters by name, and histograms of microseconds by name."""
+
+    counters: Counter[str] = field(default_factory=Counter)
+    histograms: dict[str, HdrHistogram] = field(default_factory=dict)
+
+    def count(self, name: str, amount: int = 1) -> None:
+        """Add `amount` to the counter called `name`."""
+        self.counters[name] += amount
+
+    def record(self, name: str, seconds: float) -> None:
+        """Add a duration to the histogram called `name`."""
+        histogram = self.histograms.get(name)
+        if histogram is None:
+            histogram = HdrHistogram(
+                LOWEST_MICROSECONDS, HIGHEST_MICROSECONDS, SIGNIFICANT_DIGITS
+            )
+            self.histograms[name] = histogram
+        microseconds = round(seconds * 1e6)
+        histogram.record_value(
+            min(max(microseconds, LOWEST_MICROSECONDS), HIGHEST_MICROSECONDS)
+        )
+
+    def render(self) -> str:
+        """Return all metrics, a name and a value on each line."""
+        lines = [
+            f"burdocksail_{name}_total {value}"
+            for name, value in sorted(self.counters.items())
+        ]
+        for name, histogram in sorted(self.histograms.items()):
+            for quantile in QUANTILES:
+                value = histogram.get_value_at_percentile(quantile) / 1e6
+                label = f'quantile="{quantile / 100:g}"'
+                lines.append(f"burdocksail_{name}_seconds{{{label}}} {value:.6f}")
+            total = histogram.get_total_count()
+            lines.append(f"burdocksail_{name}_seconds_count {total}")
+        return "\n".join(lines) + "\n"
--- a/src/burdocksail/core/__init__.py
+++ b/src/burdocksail/core/__init__.py
@@ -1,8 +1,24 @@
 """Immutable records and small functions that every other layer imports."""
 
 from burdocksail.core._clock import Clock, ManualClock, SystemClock, seconds
+from burdocksail.core._commands import (
+    Begin,
+    CallerCommand,
+    Commit,
+    Deallocate,
+    ExecutePrepared,
+    Prepare,
+    Refusal,
+    ResetSession,
+    Rollback,
+    Run,
+    SetValue,
+    TransactionState,
+    UpstreamCommand,
+)
 from burdocksail.core._errors import BurdocksailError, TokenError
 from burdocksail.core._instances import Instance, rank_instances, weigh_instance
+from burdocksail.core._intervals import BootTimer, Timer
 from burdocksail.core._positions import LogPosition, LogVector, parse_gtid_set
 from burdocksail.core._requests import (
     Answer,
@@ -25,20 +41,35 @@
 __all__ = [
     "Answer",
     "AnswerError",
+    "Begin",
+    "BootTimer",
     "BurdocksailError",
+    "CallerCommand",
     "Clock",
     "Column",
+    "Commit",
+    "Deallocate",
+    "ExecutePrepared",
     "Freshness",
     "Instance",
     "LogPosition",
     "LogVector",
     "ManualClock",
     "Outcome",
+    "Prepare",
+    "Refusal",
     "Request",
+    "ResetSession",
     "ResultSet",
+    "Rollback",
+    "Run",
+    "SetValue",
     "StatementKind",
     "SystemClock",
+    "Timer",
     "TokenError",
+    "TransactionState",
+    "UpstreamCommand",
     "WorkClass",
     "classify_statement",
     "decode_token",
--- /dev/null
+++ b/src/burdocksail/fleet/__init__.py
@@ -0,0 +1,51 @@
+"""What instances learn from the store and from each other."""
+
+from burdocksail.fleet._codec import (
+    MessageError,
+    Snapshot,
+    decode_message,
+    decode_snapshot,
+    encode_message,
+    encode_snapshot,
+)
+from burdocksail.fleet._messages import (
+    Farewell,
+    Grant,
+    LeaderQuery,
+    LeaderReport,
+    Message,
+    NotLeader,
+    Renew,
+    SharedSample,
+    TakeOver,
+)
+from burdocksail.fleet._peers import Address, DatagramPeers, Peers
+from burdocksail.fleet._registration import Registration, encode_member
+from burdocksail.fleet._snapshots import SnapshotExchange
+from burdocksail.fleet._tracking import AUTHORITY_NAME, StoreTracker
+
+__all__ = [
+    "AUTHORITY_NAME",
+    "Address",
+    "DatagramPeers",
+    "Farewell",
+    "Grant",
+    "LeaderQuery",
+    "LeaderReport",
+    "Message",
+    "MessageError",
+    "NotLeader",
+    "Peers",
+    "Registration",
+    "Renew",
+    "SharedSample",
+    "Snapshot",
+    "SnapshotExchange",
+    "StoreTracker",
+    "TakeOver",
+    "decode_message",
+    "decode_snapshot",
+    "encode_member",
+    "encode_message",
+    "encode_snapshot",
+]
--- /dev/null
+++ b/src/burdocksail/fleet/_codec.py
@@ -0,0 +1,101 @@
+"""Messages and snapshots as thrift bytes."""
+
+import json
+import typing
+from dataclasses import dataclass
+from importlib.resources import as_file, files
+
+import thriftpy2
+
+from burdocksail.core import BurdocksailError
+from burdocksail.fleet._messages import Message
+from burdocksail.ports import StoredObject
+from burdocksail.structs import StructCodec
+
+with as_file(files("burdocksail.fleet") / "fleet.thrift") as idl_path:
+    _idl = thriftpy2.load(str(idl_path), module_name="burdocksail_fleet_thrift")
+
+_codec = StructCodec(_idl)
+_MESSAGE_TYPES: dict[str, type] = {t.__name__: t for t in typing.get_args(Message)}
+
+
+class MessageError(BurdocksailError):
+    """Bytes from another process are not a message."""
+
+
+@dataclass(frozen=True, slots=True)
+class Snapshot:
+    """What an instance last read from the store."""
+
+    catalog: StoredObject | None
+    upstreams: tuple[StoredObject, ...]
+    directory_revision: int
+
+
+def encode_message(message: Message) -> bytes:
+    """Return the datagram of a message."""
+    name = type(message).__name__
+    return _codec.write(_idl.Envelope(**{name: _codec.encode(message)}))
+
+
+def decode_message(payload: bytes) -> Message:
+    """Return the message of a datagram.
+
+    Raises
+    ------
+    MessageError
+        If the datagram is not exactly one well-formed message.
+    """
+    try:
+        envelope = _codec.read(_idl.Envelope(), payload)
+        present = [n for n in _MESSAGE_TYPES if getattr(envelope, n) is not None]
+        if len(present) != 1:
+            raise MessageError(f"an envelope holds {len(present)} messages")
+        name = present[0]
+        return _codec.decode(_MESSAGE_TYPES[name], getattr(envelope, name))
+    except MessageError:
+        raise
+    except Exception as error:
+        # The codec raises many kinds of errors on malformed input.
+        raise MessageError(f"malformed message: {type(error).__name__}") from error
+
+
+def encode_snapshot(snapshot: Snapshot) -> bytes:
+    """Return the bytes of a snapshot."""
+    catalog = snapshot.catalog
+    return _codec.write(
+        _idl.Snapshot(
+            catalog=None if catalog is None else _encode_item(catalog),
+            upstreams=[_encode_item(item) for item in snapshot.upstreams],
+            directory_revision=snapshot.directory_revision,
+        )
+    )
+
+
+def decode_snapshot(payload: bytes) -> Snapshot:
+    """Return the snapshot in `payload`.
+
+    Raises
+    ------
+    MessageError
+        If it is malformed.
+    """
+    try:
+        struct = _codec.read(_idl.Snapshot(), payload)
+        catalog = struct.catalog
+        return Snapshot(
+            None if catalog is None else _decode_item(catalog),
+            tuple(_decode_item(item) for item in struct.upstreams),
+            int(struct.directory_revision),
+        )
+    except Exception as error:
+        raise MessageError(f"malformed snapshot: {type(error).__name__}") from error
+
+
+def _encode_item(stored: StoredObject) -> typing.Any:
+    spec = json.dumps(stored.spec, separators=(",", ":"))
+    return _idl.SnapshotItem(name=stored.name, revision=stored.revision, spec=spec)
+
+
+def _decode_item(item: typing.Any) -> StoredObject:
+    return StoredObject(item.name, int(item.revision), json.loads(item.spec))
--- /dev/null
+++ b/src/burdocksail/fleet/_peers.py
@@ -0,0 +1,124 @@
+"""Datagrams between instances, and snapshots over a stream."""
+
+import asyncio
+import struct
+from collections.abc import Callable
+from typing import Protocol
+
+from burdocksail.fleet._codec import (
+    MessageError,
+    Snapshot,
+    decode_message,
+    decode_snapshot,
+    encode_message,
+    encode_snapshot,
+)
+from burdocksail.fleet._messages import Message
+
+Address = tuple[str, int]
+Receiver = Callable[[Message, Address], None]
+
+SNAPSHOT_TIMEOUT = 2.0  # seconds; a snapshot is some hundred kilobytes
+MAX_SNAPSHOT_BYTES = 8 << 20  # several times a full configuration
+_LENGTH = struct.Struct(">I")
+
+
+class Peers(Protocol):
+    """Sends messages to other instances."""
+
+    def send(self, address: Address, message: Message) -> None:
+        """Send a message that may get lost."""
+        ...
+
+    async def fetch_snapshot(self, address: Address) -> Snapshot | None:
+        """Return what another instance has read from the store, if it answers."""
+        ...
+
+
+class DatagramPeers(asyncio.DatagramProtocol):
+    """Peers over UDP; snapshots over TCP at the same port.
+
+    Parameters
+    ----------
+    receive : callable
+        Takes each message with the address that it came from.
+    take_snapshot : callable
+        Returns the snapshot to serve.
+    report_malformed : callable
+        Called with an address and an error for datagrams that are no message.
+    """
+
+    def __init__(
+        self,
+        receive: Receiver,
+        take_snapshot: Callable[[], Snapshot],
+        report_malformed: Callable[[Address, MessageError], None],
+    ):
+        self._receive = receive
+        self._take_snapshot = take_snapshot
+        self._report_malformed = report_malformed
+        self._transport: asyncio.DatagramTransport | None = None
+        self._server: asyncio.Server | None = None
+
+    async def open(self, host: str, port: int) -> None:
+        """Listen on the address."""
+        loop = asyncio.get_running_loop()
+        self._transport, _ = await loop.create_datagram_endpoint(
+            lambda: self, local_addr=(host, port)
+        )
+        self._server = await asyncio.start_server(self._serve_snapshot, host, port)
+
+    def close(self) -> None:
+        """Stop listening."""
+        if self._transport is not None:
+            self._transport.close()
+        if self._server is not None:
+            self._server.close()
+
+    def send(self, address: Address, message: Message) -> None:
+        """Send a datagram; it may get lost."""
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.sendto(encode_message(message), address)
+
+    def datagram_received(self, data: bytes, addr: Address) -> None:
+        """Pass a message on."""
+        try:
+            message = decode_message(data)
+        except MessageError as error:
+            self._report_malformed(addr, error)
+            return
+        self._receive(message, addr)
+
+    def error_received(self, exc: Exception) -> None:
+        """Ignore an unreachable peer; silence already means the same."""
+
+    async def fetch_snapshot(self, address: Address) -> Snapshot | None:
+        """Return another instance's snapshot, None if there is no answer."""
+        writer = None
+        try:
+            async with asyncio.timeout(SNAPSHOT_TIMEOUT):
+                reader, writer = await asyncio.open_connection(*address)
+                (length,) = _LENGTH.unpack(await reader.readexactly(_LENGTH.size))
+                if length > MAX_SNAPSHOT_BYTES:
+                    return None
+                return decode_snapshot(await reader.readexactly(length))
+        except (OSError, TimeoutError, EOFError, MessageError):
+            # The caller asks another peer, or the same one later.
+            return None
+        finally:
+            if writer is not None:
+                writer.transport.abort()
+
+    async def _serve_snapshot(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        payload = encode_snapshot(self._take_snapshot())
+        try:
+            writer.write(_LENGTH.pack(len(payload)) + payload)
+            async with asyncio.timeout(SNAPSHOT_TIMEOUT):
+                await writer.drain()
+                await reader.read()
+        except (OSError, TimeoutError):
+            pass  # The peer left; it asks again if it still needs a snapshot.
+        finally:
+            writer.close()
--- /dev/null
+++ b/src/burdocksail/fleet/_registration.py
@@ -0,0 +1,85 @@
+"""The object by which an instance tells its address to the fleet."""
+
+import asyncio
+
+import structlog
+
+from burdocksail.board import Blackboard, Member
+from burdocksail.ports import Kind, ObjectStore, StoreConflict, StoreUnavailable
+
+PREFIX = "instance."
+RETRY_DELAY = 0.5  # seconds between attempts while the store is away
+
+
+def name_instance(member: Member) -> str:
+    """Return the object name of an instance.
+
+    The address is part of it: at one address there is one process at a time,
+    which a name alone does not promise.
+    """
+    return f"{PREFIX}{member.name}.{member.host}"
+
+
+def decode_member(spec: object) -> Member | None:
+    """Return the instance that an object describes, None if it is malformed."""
+    if not isinstance(spec, dict):
+        return None
+    texts = [spec.get(k) for k in ("name", "incarnation", "failure_domain", "host")]
+    port = spec.get("port")
+    if not all(isinstance(text, str) for text in texts) or type(port) is not int:
+        return None
+    return Member(*texts, port)
+
+
+def encode_member(member: Member) -> dict[str, str | int]:
+    """Return the content of an instance's object."""
+    return {
+        "name": member.name,
+        "incarnation": member.incarnation,
+        "failure_domain": member.failure_domain,
+        "host": member.host,
+        "port": member.port,
+    }
+
+
+class Registration:
+    """Keeps the object of this instance in the store."""
+
+    def __init__(self, board: Blackboard, store: ObjectStore):
+        self._board = board
+        self._store = store
+        self._log = structlog.get_logger()
+
+    async def keep(self) -> None:
+        """Write the object at start, and again whenever it has been removed."""
+        board = self._board
+        name = name_instance(board.member)
+        while not board.stop.requested:
+            if board.members.registered.get(name) != board.member:
+                await self._write(name)
+            await board.changed.wait(RETRY_DELAY)
+
+    async def withdraw(self) -> None:
+        """Remove the object; a failure leaves it to the leader."""
+        name = name_instance(self._board.member)
+        try:
+            stored = await self._store.read(Kind.FLEET, name)
+            if stored is not None:
+                await self._store.delete(Kind.FLEET, name, stored.revision)
+        except (StoreUnavailable, StoreConflict) as error:
+            self._log.warning("registration not withdrawn", reason=str(error))
+
+    async def _write(self, name: str) -> None:
+        spec = encode_member(self._board.member)
+        try:
+            try:
+                await self._store.create(Kind.FLEET, name, spec)
+            except StoreConflict:
+                await self._store.replace(Kind.FLEET, name, spec, None)
+        except (StoreUnavailable, StoreConflict) as error:
+            self._log.warning("registration not written", reason=str(error))
+            await asyncio.sleep(RETRY_DELAY)
+            return
+        self._board.members.registered[name] = self._board.member
+        self._log.info("registered", name=name)
+        self._board.changed.notify()
--- /dev/null
+++ b/src/burdocksail/fleet/_snapshots.py
@@ -0,0 +1,75 @@
+"""Takes from peers what the store does not tell this instance."""
+
+import asyncio
+
+import structlog
+
+from burdocksail.board import Blackboard
+from burdocksail.fleet._codec import Snapshot
+from burdocksail.fleet._peers import Address, Peers
+from burdocksail.fleet._tracking import StoreTracker
+
+FETCH_INTERVAL = 0.5  # seconds between fetches
+BEHIND_PATIENCE = 0.5  # seconds for the store's own event to arrive first
+
+
+class SnapshotExchange:
+    """Serves this instance's snapshot, and fetches those of peers that know more."""
+
+    def __init__(self, board: Blackboard, peers: Peers, tracker: StoreTracker):
+        self._board = board
+        self._peers = peers
+        self._tracker = tracker
+        self._newer: dict[Address, float] = {}
+        self._log = structlog.get_logger()
+
+    def take(self) -> Snapshot:
+        """Return what this instance has read from the store."""
+        board = self._board
+        return Snapshot(
+            board.catalog.stored,
+            tuple(board.directory.stored.values()),
+            board.directory.revision,
+        )
+
+    def compare(self, address: Address, version: int, revision: int) -> None:
+        """Note what a peer knows, to fetch it if that is more than known here."""
+        board = self._board
+        catalog = board.catalog.catalog
+        newer_catalog = version > (0 if catalog is None else catalog.version)
+        newer_directory = revision > board.directory.revision
+        if newer_catalog or (newer_directory and not board.store.works):
+            self._newer.setdefault(address, board.now())
+        else:
+            self._newer.pop(address, None)
+
+    async def keep_up(self) -> None:
+        """Fetch from peers that have been ahead for a moment, for ever."""
+        while True:
+            await asyncio.sleep(FETCH_INTERVAL)
+            limit = self._board.now() - BEHIND_PATIENCE
+            ahead = [a for a, since in self._newer.items() if since <= limit]
+            for address in ahead[:1]:
+                del self._newer[address]
+                await self._fetch(address)
+
+    async def bootstrap(self) -> None:
+        """Ask known peers until there is a configuration."""
+        while self._board.catalog.catalog is None:
+            await asyncio.sleep(FETCH_INTERVAL)
+            for address in sorted(self._board.members.addresses()):
+                if address != self._board.member.address:
+                    await self._fetch(address)
+
+    async def _fetch(self, address: Address) -> None:
+        snapshot = await self._peers.fetch_snapshot(address)
+        if snapshot is None:
+            return
+        self._log.info(
+            "snapshot fetched",
+            peer=f"{address[0]}:{address[1]}",
+            directory_revision=snapshot.directory_revision,
+        )
+        if snapshot.catalog is not None:
+            self._tracker.adopt_catalog(snapshot.catalog)
+        self._tracker.adopt_upstreams(snapshot.upstreams, snapshot.directory_revision)
--- /dev/null
+++ b/src/burdocksail/fleet/fleet.thrift
@@ -0,0 +1,46 @@
+// Messages between instances. Names equal those of the dataclasses in
+// burdocksail.fleet and burdocksail.board; the codec maps them by name. Instants
+// and ages are seconds.
+
+struct Member {
+  1: string name, 2: string incarnation, 3: string failure_domain,
+  4: string host, 5: i32 port
+}
+struct LogPosition { 1: i64 term, 2: i64 sequence }
+struct GroupView {
+  1: string service_name, 2: string primary_id, 3: i64 change, 4: string state
+}
+struct SharedSample {
+  1: string service_name, 2: i64 change, 3: LogPosition position, 4: double age
+}
+
+struct Renew {
+  1: Member member, 2: double sent_at, 3: i64 epoch, 4: i64 generation,
+  5: i64 catalog_version, 6: i64 directory_revision, 7: bool store_works,
+  8: list<string> busy, 9: list<string> unreachable, 10: bool leaving
+}
+struct Grant {
+  1: Member leader, 2: i64 epoch, 3: i64 generation, 4: double echo,
+  5: bool extends_evidence, 6: list<GroupView> groups, 7: i64 alive,
+  8: i64 catalog_version, 9: i64 directory_revision, 10: bool store_works,
+  11: list<SharedSample> samples
+}
+struct NotLeader { 1: Member member, 2: i64 epoch, 3: optional Member leader }
+struct LeaderQuery { 1: Member member, 2: i64 epoch }
+struct LeaderReport { 1: Member member, 2: i64 epoch, 3: bool hears_leader }
+struct TakeOver { 1: Member member, 2: i64 epoch }
+struct Farewell { 1: Member member }
+
+struct Envelope {
+  1: optional Renew Renew, 2: optional Grant Grant,
+  3: optional NotLeader NotLeader, 4: optional LeaderQuery LeaderQuery,
+  5: optional LeaderReport LeaderReport, 6: optional TakeOver TakeOver,
+  7: optional Farewell Farewell
+}
+
+// A snapshot of what the store holds, for an instance that cannot reach it.
+struct SnapshotItem { 1: string name, 2: i64 revision, 3: string spec }
+struct Snapshot {
+  1: optional SnapshotItem catalog, 2: list<SnapshotItem> upstreams,
+  3: i64 directory_revision
+}
--- /dev/null
+++ b/src/burdocksail/ports/__init__.py
@@ -0,0 +1,57 @@
+"""What adapters implement: upstreams, the store and the order to promote."""
+
+from burdocksail.ports._errors import (
+    ConnectionRefused,
+    HistoryLost,
+    PortError,
+    PromotionRefused,
+    PromotionUnknown,
+    StoreConflict,
+    StoreUnavailable,
+    TooManyConnections,
+    UpstreamLost,
+    WrongUpstream,
+)
+from burdocksail.ports._promotion import Promoter
+from burdocksail.ports._store import (
+    Kind,
+    Listing,
+    ObjectStore,
+    StoredObject,
+    StoreEvent,
+    StoreEvents,
+)
+from burdocksail.ports._translation import Translator
+from burdocksail.ports._upstreams import (
+    Connector,
+    Reply,
+    ServerStatus,
+    Status,
+    UpstreamConnection,
+)
+
+__all__ = [
+    "ConnectionRefused",
+    "Connector",
+    "HistoryLost",
+    "Kind",
+    "Listing",
+    "ObjectStore",
+    "PortError",
+    "Promoter",
+    "PromotionRefused",
+    "PromotionUnknown",
+    "Reply",
+    "ServerStatus",
+    "Status",
+    "StoreConflict",
+    "StoreEvent",
+    "StoreEvents",
+    "StoreUnavailable",
+    "StoredObject",
+    "TooManyConnections",
+    "Translator",
+    "UpstreamConnection",
+    "UpstreamLost",
+    "WrongUpstream",
+]
--- /dev/null
+++ b/src/burdocksail/serving/_freshness.py
@@ -0,0 +1,183 @@
+"""Positions that a read has to cover, and the samples they come from."""
+
+import asyncio
+from dataclasses import dataclass, field
+
+import structlog
+
+from burdocksail.board import Blackboard, GroupState, GroupView, Sample
+from burdocksail.catalog import ReadPolicy, Route
+from burdocksail.core import LogPosition, ResetSession
+from burdocksail.ports import UpstreamLost
+from burdocksail.serving._pools import NoConnection, Pools
+
+SAMPLE_INTERVAL = 0.4  # seconds; several within the shortest usual age
+PROBE_TIMEOUT = 0.4  # seconds; an order of magnitude above a round trip
+PROBE_PRIORITY = -1  # a probe takes no slot and is over in a round trip
+POLL_INTERVAL = 0.1  # seconds
+
+
+@dataclass(slots=True)
+class SessionFloors:
+    """Positions of a session's own commits.
+
+    Attributes
+    ----------
+    by_service : dict of str to (LogPosition, int)
+        Last position and the change number of the primary that gave it.
+    """
+
+    by_service: dict[str, tuple[LogPosition, int]] = field(default_factory=dict)
+
+    def note_commit(self, service: str, position: LogPosition, change: int) -> None:
+        """Note that the session has committed at a position."""
+        known = self.by_service.get(service)
+        if known is None or known[1] < change or known[0] < position:
+            self.by_service[service] = (position, change)
+
+
+@dataclass(frozen=True, slots=True)
+class Floor:
+    """What a read's server has to cover.
+
+    Attributes
+    ----------
+    position : LogPosition or None
+        None asks for nothing.
+    """
+
+    position: LogPosition | None
+
+
+def find_floor(
+    board: Blackboard, route: Route, floors: SessionFloors, arrived_at: float
+) -> Floor | None:
+    """Return the floor of a read that arrived at an instant.
+
+    Returns
+    -------
+    Floor or None
+        None if no position is known that is young enough; then only the
+        primary itself may answer.
+    """
+    view = board.authority.groups.get(route.service)
+    samples = board.samples.of(route.service)
+    needed: list[LogPosition] = []
+    if route.max_age is not None:
+        oldest = arrived_at - route.max_age
+        young = next((s for s in samples if s.asked_at >= oldest), None)
+        if young is None:
+            return None
+        needed.append(young.position)
+    if route.policy is ReadPolicy.OWN_WRITES:
+        own = floors.by_service.get(route.service)
+        if own is not None:
+            position = _carry_over(own, view, samples)
+            if position is None:
+                return None
+            needed.append(position)
+    return Floor(max(needed, default=None))
+
+
+def _carry_over(own, view: GroupView | None, samples) -> LogPosition | None:
+    """Return the floor of a session's commit under the present primary.
+
+    A commit of an earlier primary may have been lost with it. Any position of
+    the present primary covers what has remained.
+    """
+    position, change = own
+    if view is None or view.change == change:
+        return position
+    return samples[-1].position if samples else None
+
+
+def note_position(
+    board: Blackboard, view: GroupView, asked_at: float, position: LogPosition | None
+) -> None:
+    """Add a sample from an answer of the primary that `view` names.
+
+    It counts only if no change of primary can have begun before the question.
+    """
+    authority = board.authority
+    current = authority.groups.get(view.service_name)
+    if position is None or current is None or current.change != view.change:
+        return
+    if asked_at >= authority.evidence_until:
+        return
+    samples = board.samples.of(view.service_name)
+    if samples and asked_at <= samples[-1].asked_at:
+        return
+    samples.append(Sample(asked_at, position, view.change))
+
+
+class Sampler:
+    """Asks the primaries for their positions, and notices when they are silent."""
+
+    def __init__(self, board: Blackboard, pools: Pools):
+        self._board = board
+        self._pools = pools
+        self._running: dict[str, asyncio.Task] = {}
+        self._log = structlog.get_logger()
+
+    async def run(self) -> None:
+        """Sample all groups for ever."""
+        while True:
+            now = self._board.now()
+            for view in list(self._board.authority.groups.values()):
+                if view.service_name not in self._running and self._is_due(view, now):
+                    self._start(view)
+            self._pools.close_unused()
+            await asyncio.sleep(POLL_INTERVAL)
+
+    def _is_due(self, view: GroupView, now: float) -> bool:
+        if view.state is GroupState.CLOSED:
+            return False
+        if view.service_name in self._board.authority.unreachable:
+            return True
+        samples = self._board.samples.of(view.service_name)
+        return not samples or now - samples[-1].asked_at >= SAMPLE_INTERVAL
+
+    def _start(self, view: GroupView) -> None:
+        task = asyncio.create_task(self._sample(view))
+        self._running[view.service_name] = task
+        task.add_done_callback(lambda _: self._running.pop(view.service_name, None))
+
+    async def _sample(self, view: GroupView) -> None:
+        upstream = self._board.directory.upstreams.get(view.primary_id)
+        if upstream is None:
+            return
+        pool = self._pools.get(upstream)
+        try:
+            connection = await pool.acquire(PROBE_PRIORITY, PROBE_TIMEOUT)
+        except NoConnection as error:
+            if pool.last_failure:
+                self._note_unreachable(view, str(error))
+            return
+        asked_at = self._board.now()
+        try:
+            replies = await connection.connection.run([ResetSession()], PROBE_TIMEOUT)
+        except UpstreamLost as error:
+            self._note_unreachable(view, str(error))
+        else:
+            connection.forget_session()
+            note_position(self._board, view, asked_at, replies[-1].position)
+            self._note_reachable(view)
+        finally:
+            pool.release(connection)
+
+    def _note_unreachable(self, view: GroupView, reason: str) -> None:
+        unreachable = self._board.authority.unreachable
+        if view.service_name not in unreachable:
+            unreachable[view.service_name] = self._board.now()
+            self._log.warning(
+                "primary lost",
+                service=view.service_name,
+                upstream=view.primary_id,
+                reason=reason,
+            )
+
+    def _note_reachable(self, view: GroupView) -> None:
+        if self._board.authority.unreachable.pop(view.service_name, None) is not None:
+            self._log.info(
+                "primary regained", service=view.service_name, upstream=view.primary_id
+            )
--- /dev/null
+++ b/src/burdocksail/serving/_pools.py
@@ -0,0 +1,308 @@
+"""Connections to upstreams, kept open and shared by this instance's sessions."""
+
+import asyncio
+import heapq
+import itertools
+from dataclasses import dataclass, field
+
+import structlog
+
+from burdocksail.board import Blackboard
+from burdocksail.catalog import Upstream
+from burdocksail.core import BurdocksailError, LogPosition, SetValue
+from burdocksail.ports import (
+    ConnectionRefused,
+    Connector,
+    TooManyConnections,
+    UpstreamConnection,
+)
+
+CONNECT_TIMEOUT = 1.0  # seconds; several round trips across regions and a handshake
+RESERVED_CONNECTIONS = 2  # of each server, for questions about its state
+# Instances use their shares unevenly; a server refuses what is too much.
+SHARE_FACTOR = 1.5
+MIN_CONNECTIONS = 2
+LIMITED_PAUSE = 1.0  # seconds without new connections after a server refused one
+FAILED_PAUSE = 0.1  # seconds without new connections after one failed
+SURPLUS_IDLE = 3.0  # seconds until an idle connection beyond the fair share closes
+LATENCY_WEIGHT = 0.1  # of the newest sample in the moving average
+
+
+class NoConnection(BurdocksailError):
+    """No connection could be had in time; nothing was sent."""
+
+
+@dataclass(slots=True)
+class PooledConnection:
+    """A connection, and what its upstream session holds.
+
+    Attributes
+    ----------
+    values : dict of str to str
+        Session values that are set.
+    prepared : dict of (str, bool) to str
+        Names of prepared statements by shape and whether they write.
+    """
+
+    upstream: Upstream
+    connection: UpstreamConnection
+    values: dict[str, str] = field(default_factory=dict)
+    prepared: dict[tuple[str, bool], str] = field(default_factory=dict)
+    idle_since: float = 0.0
+
+    @property
+    def is_open(self) -> bool:
+        """Return whether the connection is usable as far as is known."""
+        return self.connection.is_open
+
+    def close(self) -> None:
+        """Close the connection."""
+        self.connection.close()
+
+    def forget_session(self) -> None:
+        """Note that the upstream session has been reset."""
+        self.values.clear()
+        self.prepared.clear()
+
+    def note_value(self, command: SetValue) -> None:
+        """Note that a value has been set."""
+        self.values[command.name] = command.value
+
+
+@dataclass(slots=True)
+class ServerStatistics:
+    """How a server has answered this instance."""
+
+    latency: float = 0.03  # seconds; before the first answer
+    in_flight: int = 0
+    position: LogPosition | None = None
+    avoid_until: float = float("-inf")
+    lagging_until: float = float("-inf")
+
+    def note_latency(self, seconds: float) -> None:
+        """Add an answer's latency to the moving average."""
+        self.latency += LATENCY_WEIGHT * (seconds - self.latency)
+
+
+class Pool:
+    """The connections of this instance to one upstream."""
+
+    def __init__(self, board: Blackboard, connector: Connector, upstream: Upstream):
+        self.upstream = upstream
+        self.statistics = ServerStatistics()
+        self.last_failure: str = ""
+        self._board = board
+        self._connector = connector
+        self._idle: list[PooledConnection] = []
+        self._in_use: set[int] = set()
+        self._opening = 0
+        self._waiters: list[tuple[int, int, asyncio.Future]] = []
+        self._order = itertools.count()
+        self._pause_until = float("-inf")
+        self._tasks: set[asyncio.Task] = set()
+        self._closed = False
+        self._log = structlog.get_logger()
+
+    @property
+    def size(self) -> int:
+        """Return the number of connections, those being opened included."""
+        return len(self._idle) + len(self._in_use) + self._opening
+
+    @property
+    def is_unused(self) -> bool:
+        """Return whether nothing is in use and nobody waits."""
+        return not self._in_use and not self._waiters and not self._opening
+
+    async def acquire(self, priority: int, timeout: float) -> PooledConnection:
+        """Return a connection for exclusive use; `release` gives it back.
+
+        Raises
+        ------
+        NoConnection
+            If there is none within `timeout` seconds.
+        """
+        connection = self._take_idle()
+        if connection is not None:
+            return connection
+        if self._closed:
+            raise NoConnection("the upstream is not in use any more")
+        waiter = asyncio.get_running_loop().create_future()
+        heapq.heappush(self._waiters, (priority, next(self._order), waiter))
+        self._open_if_wanted()
+        done, _ = await asyncio.wait((waiter,), timeout=max(0.0, timeout))
+        if done:
+            return waiter.result()
+        waiter.cancel()
+        raise NoConnection(self.last_failure or "all connections are in use")
+
+    def release(self, connection: PooledConnection) -> None:
+        """Take a connection back."""
+        self._in_use.discard(id(connection))
+        if not connection.is_open or self._closed:
+            connection.close()
+        else:
+            connection.idle_since = self._board.now()
+            self._hand_out(connection)
+        self._open_if_wanted()
+
+    def discard(self, connection: PooledConnection) -> None:
+        """Close a connection, which rolls back its transaction."""
+        connection.close()
+        self.release(connection)
+
+    def close_surplus(self) -> None:
+        """Close what has been idle beyond this instance's fair share."""
+        limit = self._board.now() - SURPLUS_IDLE
+        self._idle = [c for c in self._idle if c.is_open]
+        while self.size > self._fair_share() and self._idle:
+            if self._idle[0].idle_since > limit:
+                return
+            self._idle.pop(0).close()
+
+    def close(self) -> None:
+        """Close idle connections now and the others when they come back."""
+        self._closed = True
+        for connection in self._idle:
+            connection.close()
+        self._idle.clear()
+        self._fail_waiters("the upstream is not in use any more")
+
+    def _take_idle(self) -> PooledConnection | None:
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.is_open:
+                self._in_use.add(id(connection))
+                return connection
+        return None
+
+    def _hand_out(self, connection: PooledConnection) -> None:
+        while self._waiters:
+            _, _, waiter = heapq.heappop(self._waiters)
+            if not waiter.done():
+                self._in_use.add(id(connection))
+                waiter.set_result(connection)
+                return
+        self._idle.append(connection)
+
+    def _open_if_wanted(self) -> None:
+        waiting = sum(1 for *_, waiter in self._waiters if not waiter.done())
+        while (
+            waiting > self._opening
+            and self.size < self._capacity()
+            and self._board.now() >= self._pause_until
+            and not self._closed
+        ):
+            self._opening += 1
+            task = asyncio.create_task(self._open())
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _open(self) -> None:
+        board = self._board
+        try:
+            raw = await self._connector.connect(self.upstream, CONNECT_TIMEOUT)
+        except ConnectionRefused as error:
+            self._opening -= 1
+            limited = isinstance(error, TooManyConnections)
+            pause = LIMITED_PAUSE if limited else FAILED_PAUSE
+            self._pause_until = board.now() + pause
+            self.last_failure = str(error) or type(error).__name__
+            board.metrics.count("connections_failed")
+            self._log.info(
+                "connection failed",
+                upstream=self.upstream.id,
+                reason=self.last_failure,
+                open=self.size,
+            )
+            if not self._in_use:
+                self._fail_waiters(self.last_failure)
+            return
+        self._opening -= 1
+        self.last_failure = ""
+        board.metrics.count("connections_opened")
+        connection = PooledConnection(self.upstream, raw, idle_since=board.now())
+        if self._closed:
+            connection.close()
+        else:
+            self._hand_out(connection)
+
+    def _fail_waiters(self, reason: str) -> None:
+        waiters, self._waiters = self._waiters, []
+        for _, _, waiter in waiters:
+            if not waiter.done():
+                waiter.set_exception(NoConnection(reason))
+
+    def _fair_share(self) -> float:
+        catalog = self._board.catalog.catalog
+        service = (
+            None if catalog is None else catalog.services.get(self.upstream.service)
+        )
+        if service is None:
+            return MIN_CONNECTIONS
+        members = self._board.members
+        instances = max(1, members.alive, len(members.registered))
+        usable = service.max_connections - RESERVED_CONNECTIONS
+        return max(MIN_CONNECTIONS, usable / instances)
+
+    def _capacity(self) -> int:
+        return int(self._fair_share() * SHARE_FACTOR)
+
+
+class Pools:
+    """The pools of all upstreams that take work."""
+
+    def __init__(self, board: Blackboard, connector: Connector):
+        self._board = board
+        self._connector = connector
+        self._pools: dict[str, Pool] = {}
+
+    def get(self, upstream: Upstream) -> Pool:
+        """Return the pool of an upstream.
+
+        A server that started again has lost its sessions, and one at another
+        address is another server, so they get a pool of their own.
+        """
+        pool = self._pools.get(upstream.id)
+        if pool is not None and not _is_same(pool.upstream, upstream):
+            pool.close()
+            pool = None
+        if pool is None:
+            pool = Pool(self._board, self._connector, upstream)
+            self._pools[upstream.id] = pool
+        return pool
+
+    def close_unused(self) -> None:
+        """Close pools of upstreams that are gone, and surplus connections."""
+        known = self._board.directory.upstreams
+        for upstream_id, pool in list(self._pools.items()):
+            if upstream_id not in known:
+                pool.close()
+                if pool.is_unused:
+                    del self._pools[upstream_id]
+            else:
+                pool.close_surplus()
+
+    def close(self) -> None:
+        """Close all pools."""
+        for pool in self._pools.values():
+            pool.close()
+
+    def describe(self) -> dict[str, dict[str, float | int]]:
+        """Return the state of each pool for the dump."""
+        return {
+            upstream_id: {
+                "size": pool.size,
+                "in_flight": pool.statistics.in_flight,
+                "latency_ms": round(pool.statistics.latency * 1000, 2),
+            }
+            for upstream_id, pool in self._pools.items()
+        }
+
+
+def _is_same(known: Upstream, current: Upstream) -> bool:
+    return (known.host, known.port, known.born, known.service) == (
+        current.host,
+        current.port,
+        current.born,
+        current.service,
+    )
--- /dev/null
+++ b/src/burdocksail/serving/_routing.py
@@ -0,0 +1,76 @@
+"""Chooses the server of a read."""
+
+from dataclasses import dataclass
+
+from burdocksail.board import Blackboard
+from burdocksail.catalog import Upstream, UpstreamState
+from burdocksail.core import LogPosition
+from burdocksail.serving._pools import Pools
+
+# Round trips in seconds by distance, until latencies have been measured.
+SAME_DOMAIN = 0.0005
+SAME_REGION = 0.003
+OTHER_REGION = 0.03
+
+LAGGING_COST = 0.05  # seconds; a replica behind the floor mostly refuses
+AVOIDED_COST = 0.5  # seconds; a server that just refused or broke comes last
+# Writes have only the primary, so reads go elsewhere unless that costs much.
+PRIMARY_COST = 0.01  # seconds
+
+
+@dataclass(frozen=True, slots=True)
+class Choice:
+    """A server and the expected time of an answer, in seconds."""
+
+    upstream: Upstream
+    cost: float
+
+
+def rank_servers(
+    board: Blackboard, pools: Pools, service: str, floor: LogPosition | None
+) -> list[Choice]:
+    """Return the servers that may run a read, best first.
+
+    Parameters
+    ----------
+    floor : LogPosition or None
+        Position that the server has to cover.
+    """
+    view = board.authority.groups.get(service)
+    primary_id = None if view is None else view.primary_id
+    choices = [
+        Choice(upstream, _estimate(board, pools, upstream, primary_id, floor))
+        for upstream in board.directory.of_service(service)
+        if upstream.state is UpstreamState.READY
+    ]
+    return sorted(choices, key=lambda c: (c.cost, c.upstream.id))
+
+
+def estimate_round_trip(board: Blackboard, upstream: Upstream) -> float:
+    """Return the round trip to a server in seconds, judged by distance."""
+    own = board.member.failure_domain
+    if upstream.failure_domain == own:
+        return SAME_DOMAIN
+    if board.region_of(upstream.failure_domain) == board.region_of(own):
+        return SAME_REGION
+    return OTHER_REGION
+
+
+def _estimate(
+    board: Blackboard,
+    pools: Pools,
+    upstream: Upstream,
+    primary_id: str | None,
+    floor: LogPosition | None,
+) -> float:
+    now = board.now()
+    statistics = pools.get(upstream).statistics
+    cost = estimate_round_trip(board, upstream)
+    cost += statistics.latency * (1 + statistics.in_flight)
+    if upstream.id == primary_id:
+        cost += PRIMARY_COST
+    if now < statistics.avoid_until:
+        cost += AVOIDED_COST
+    if now < statistics.lagging_until:
+        cost += LAGGING_COST
+    return cost
--- /dev/null
+++ b/src/burdocksail/serving/_sessions.py
@@ -0,0 +1,225 @@
+"""Sessions of callers: their values, prepared statements and transactions."""
+
+import contextlib
+from dataclasses import dataclass, field
+from functools import singledispatchmethod
+
+from burdocksail.board import Blackboard
+from burdocksail.catalog import ReadPolicy, Route
+from burdocksail.core import (
+    Begin,
+    CallerCommand,
+    Commit,
+    Deallocate,
+    ExecutePrepared,
+    Prepare,
+    Refusal,
+    Rollback,
+    Run,
+    SetValue,
+    TransactionState,
+)
+from burdocksail.serving._decisions import DecisionLog
+from burdocksail.serving._freshness import SessionFloors
+from burdocksail.serving._pools import Pools
+from burdocksail.serving._replies import CallerReply, Failure
+from burdocksail.serving._statements import Work, run_read, run_write
+from burdocksail.serving._transactions import Transaction
+
+
+@dataclass(frozen=True, slots=True)
+class PreparedShape:
+    """What a caller's name of a prepared statement stands for."""
+
+    shape: str
+    writes: bool
+
+
+@dataclass(slots=True)
+class SessionValues:
+    """What a caller has set in its session."""
+
+    values: dict[str, str] = field(default_factory=dict)
+    prepared: dict[str, PreparedShape] = field(default_factory=dict)
+    floors: SessionFloors = field(default_factory=SessionFloors)
+
+
+class Serving:
+    """What sessions share."""
+
+    def __init__(self, board: Blackboard, pools: Pools):
+        self.board = board
+        self.pools = pools
+        self.decisions = DecisionLog(board)
+        self.open_transactions = 0
+
+    def find_route(self, database: str) -> Route | None:
+        """Return the route of a database in the configuration in force."""
+        catalog = self.board.catalog.catalog
+        return None if catalog is None else catalog.routes.get(database)
+
+
+class CallerSession:
+    """One caller's session; its commands come one after the other."""
+
+    def __init__(self, serving: Serving, database: str):
+        self.database = database
+        self._serving = serving
+        self._values = SessionValues()
+        self._transaction: Transaction | None = None
+        self._failed = False
+
+    @property
+    def state(self) -> TransactionState:
+        """Return whether a transaction is open."""
+        if self._failed:
+            return TransactionState.FAILED
+        if self._transaction is not None:
+            return TransactionState.OPEN
+        return TransactionState.IDLE
+
+    async def execute(self, command: CallerCommand) -> CallerReply:
+        """Run a command and return what to tell the caller."""
+        board = self._serving.board
+        started = board.now()
+        try:
+            if self._failed and not isinstance(command, Commit | Rollback):
+                raise Failure(Refusal.MALFORMED, "the transaction has failed")
+            reply = await self._run(command)
+        except Failure as failure:
+            reply = self._refuse(command, failure)
+        outcome = "answered" if reply.refusal is None else reply.refusal.value
+        board.metrics.count(f"commands_{outcome}")
+        board.metrics.record("command", board.now() - started)
+        return reply
+
+    async def end_idle_transaction(self, reason: str) -> None:
+        """Roll back a transaction that its caller has left idle."""
+        if self._transaction is not None:
+            self._serving.decisions.write(
+                "transaction ended", self._transaction.request_id, reason=reason
+            )
+            await self._leave_transaction()
+            self._failed = True
+
+    async def close(self) -> None:
+        """End the session; an open transaction rolls back."""
+        await self._leave_transaction()
+
+    @singledispatchmethod
+    async def _run(self, command: CallerCommand) -> CallerReply:
+        raise NotImplementedError(type(command).__name__)
+
+    @_run.register
+    async def _(self, command: SetValue) -> CallerReply:
+        self._values.values[command.name] = command.value
+        return CallerReply(self.state)
+
+    @_run.register
+    async def _(self, command: Prepare) -> CallerReply:
+        shape = PreparedShape(command.shape, command.writes)
+        self._values.prepared[command.name] = shape
+        return CallerReply(self.state)
+
+    @_run.register
+    async def _(self, command: Deallocate) -> CallerReply:
+        if self._values.prepared.pop(command.name, None) is None:
+            raise Failure(Refusal.UNKNOWN_STATEMENT, command.name)
+        return CallerReply(self.state)
+
+    @_run.register
+    async def _(self, command: Begin) -> CallerReply:
+        if self._transaction is not None:
+            raise Failure(Refusal.MALFORMED, "a transaction is open")
+        serving = self._serving
+        route = self._find_route()
+        if serving.board.stop.requested and self._is_late_for_transactions():
+            raise Failure(Refusal.BUSY, "the instance is stopping", retry_after=0.0)
+        self._transaction = Transaction(
+            serving, route, self._values, command.read_only, command.request_id
+        )
+        return CallerReply(self.state)
+
+    @_run.register
+    async def _(self, command: Rollback) -> CallerReply:
+        await self._leave_transaction()
+        self._failed = False
+        return CallerReply(self.state)
+
+    @_run.register
+    async def _(self, command: Commit) -> CallerReply:
+        if self._failed:
+            self._failed = False
+            raise Failure(Refusal.ABORTED, "the transaction was rolled back")
+        transaction = self._transaction
+        if transaction is None:
+            raise Failure(Refusal.MALFORMED, "no transaction is open")
+        self._transaction = None
+        answer = await transaction.commit(command)
+        return CallerReply(
+            self.state, signature=answer.signature, position=answer.position
+        )
+
+    @_run.register
+    async def _(self, command: Run) -> CallerReply:
+        return await self._run_statement(command, command.writes)
+
+    @_run.register
+    async def _(self, command: ExecutePrepared) -> CallerReply:
+        shape = self._values.prepared.get(command.name)
+        if shape is None:
+            raise Failure(Refusal.UNKNOWN_STATEMENT, command.name)
+        return await self._run_statement(command, shape.writes)
+
+    async def _run_statement(
+        self, command: Run | ExecutePrepared, writes: bool
+    ) -> CallerReply:
+        if self._transaction is not None:
+            try:
+                answer = await self._transaction.run(command, writes)
+            except Failure:
+                await self._leave_transaction()
+                self._failed = True
+                raise
+        else:
+            work = Work(self._serving, self._find_route(), self._values, command)
+            at_primary = writes or work.route.policy is ReadPolicy.PRIMARY
+            answer = await (run_write if at_primary else run_read)(work, writes)
+        return CallerReply(
+            self.state,
+            signature=answer.signature,
+            rows=answer.rows,
+            position=answer.position,
+        )
+
+    def _refuse(self, command: CallerCommand, failure: Failure) -> CallerReply:
+        self._serving.decisions.write(
+            "refused",
+            command.request_id,
+            outcome=failure.refusal.value,
+            reason=failure.message,
+            retry_after=failure.retry_after,
+        )
+        return CallerReply(
+            self.state,
+            refusal=failure.refusal,
+            message=failure.message,
+            retry_after=failure.retry_after,
+            ends_session=failure.refusal is Refusal.UNKNOWN_DATABASE,
+        )
+
+    def _find_route(self) -> Route:
+        route = self._serving.find_route(self.database)
+        if route is None:
+            raise Failure(Refusal.UNKNOWN_DATABASE, self.database)
+        return route
+
+    def _is_late_for_transactions(self) -> bool:
+        board = self._serving.board
+        return board.now() > board.stop.transactions_end_at
+
+    async def _leave_transaction(self) -> None:
+        transaction, self._transaction = self._transaction, None
+        if transaction is not None:
+            with contextlib.suppress(Failure):
+                await transaction.roll_back()
