--- a/src/burdocksail/authority/_leadership.py
+++ b/src/burdocksail/authority/_leadership.py
@@ -302,7 +302,10 @@
                 last = taken[-1]
                 samples.append(
                     SharedSample(
-                        view.service_name, view.change, last.position, now - last.asked_at
+                        view.service_name,
+                        view.change,
+                        last.position,
+                        now - last.asked_at,
                     )
                 )
         return Grant(
--- a/src/burdocksail/fleet/_registration.py
+++ b/src/burdocksail/fleet/_registration.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import msgspec
 import structlog
 
 from burdocksail.board import Blackboard, Member
@@ -22,13 +23,10 @@
 
 def decode_member(spec: object) -> Member | None:
     """Return the instance that an object describes, None if it is malformed."""
-    if not isinstance(spec, dict):
+    try:
+        return msgspec.convert(spec, Member)
+    except msgspec.ValidationError:
         return None
-    texts = [spec.get(k) for k in ("name", "incarnation", "failure_domain", "host")]
-    port = spec.get("port")
-    if not all(isinstance(text, str) for text in texts) or type(port) is not int:
-        return None
-    return Member(*texts, port)
 
 
 def encode_member(member: Member) -> dict[str, str | int]:
--- a/src/burdocksail/serving/_exchange.py
+++ b/src/burdocksail/serving/_exchange.py
@@ -15,6 +15,7 @@
     UpstreamCommand,
 )
 from burdocksail.ports import Reply, Status, UpstreamLost
+from burdocksail.serving._context import SessionValues
 from burdocksail.serving._pools import Pool, PooledConnection
 
 Statement = Run | ExecutePrepared | Begin | Commit
@@ -24,7 +25,7 @@
     board: Blackboard,
     pool: Pool,
     connection: PooledConnection,
-    values,
+    values: SessionValues,
     statement: Statement,
     timeout: float,
     floor: LogPosition | None = None,
@@ -62,7 +63,7 @@
 
 
 def _align(
-    connection: PooledConnection, values, statement: Statement
+    connection: PooledConnection, values: SessionValues, statement: Statement
 ) -> tuple[list[UpstreamCommand], Callable[[], None]]:
     """Return the commands to send, and what to note once they are answered."""
     commands: list[UpstreamCommand] = []
@@ -89,7 +90,7 @@
 
 def _rename(
     statement: ExecutePrepared,
-    values,
+    values: SessionValues,
     prepared: dict[tuple[str, bool], str],
     commands: list[UpstreamCommand],
 ) -> ExecutePrepared:
--- a/src/burdocksail/serving/_freshness.py
+++ b/src/burdocksail/serving/_freshness.py
@@ -1,6 +1,7 @@
 """Positions that a read has to cover, and the samples they come from."""
 
 import asyncio
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 
 import structlog
@@ -79,7 +80,9 @@
     return Floor(max(needed, default=None))
 
 
-def _carry_over(own, view: GroupView | None, samples) -> LogPosition | None:
+def _carry_over(
+    own: tuple[LogPosition, int], view: GroupView | None, samples: Sequence[Sample]
+) -> LogPosition | None:
     """Return the floor of a session's commit under the present primary.
 
     A commit of an earlier primary may have been lost with it. Any position of
--- a/src/burdocksail/serving/_sessions.py
+++ b/src/burdocksail/serving/_sessions.py
@@ -1,10 +1,8 @@
 """Sessions of callers: their values, prepared statements and transactions."""
 
 import contextlib
-from dataclasses import dataclass, field
 from functools import singledispatchmethod
 
-from burdocksail.board import Blackboard
 from burdocksail.catalog import ReadPolicy, Route
 from burdocksail.core import (
     Begin,
@@ -19,46 +17,12 @@
     SetValue,
     TransactionState,
 )
-from burdocksail.serving._decisions import DecisionLog
-from burdocksail.serving._freshness import SessionFloors
-from burdocksail.serving._pools import Pools
+from burdocksail.serving._context import PreparedShape, Serving, SessionValues
 from burdocksail.serving._replies import CallerReply, Failure
 from burdocksail.serving._statements import Work, run_read, run_write
 from burdocksail.serving._transactions import Transaction
 
 
-@dataclass(frozen=True, slots=True)
-class PreparedShape:
-    """What a caller's name of a prepared statement stands for."""
-
-    shape: str
-    writes: bool
-
-
-@dataclass(slots=True)
-class SessionValues:
-    """What a caller has set in its session."""
-
-    values: dict[str, str] = field(default_factory=dict)
-    prepared: dict[str, PreparedShape] = field(default_factory=dict)
-    floors: SessionFloors = field(default_factory=SessionFloors)
-
-
-class Serving:
-    """What sessions share."""
-
-    def __init__(self, board: Blackboard, pools: Pools):
-        self.board = board
-        self.pools = pools
-        self.decisions = DecisionLog(board)
-        self.open_transactions = 0
-
-    def find_route(self, database: str) -> Route | None:
-        """Return the route of a database in the configuration in force."""
-        catalog = self.board.catalog.catalog
-        return None if catalog is None else catalog.routes.get(database)
-
-
 class CallerSession:
     """One caller's session; its commands come one after the other."""
 
--- a/src/burdocksail/serving/_statements.py
+++ b/src/burdocksail/serving/_statements.py
@@ -3,9 +3,11 @@
 import asyncio
 from dataclasses import dataclass, field
 
-from burdocksail.board import GroupState, GroupView
+from burdocksail.board import Blackboard, GroupState, GroupView
+from burdocksail.catalog import Route
 from burdocksail.core import ExecutePrepared, Refusal, Run
 from burdocksail.ports import Reply, Status, UpstreamLost
+from burdocksail.serving._context import Serving, SessionValues
 from burdocksail.serving._exchange import exchange
 from burdocksail.serving._freshness import find_floor, note_position
 from burdocksail.serving._pools import NoConnection, Pool
@@ -30,9 +32,9 @@
 class Work:
     """One statement outside of a transaction, or the first of one."""
 
-    serving: object
-    route: object
-    values: object
+    serving: Serving
+    route: Route
+    values: SessionValues
     command: Run | ExecutePrepared
     arrived_at: float = 0.0
     tries: int = 0
@@ -44,7 +46,7 @@
         self.arrived_at = self.serving.board.now()
 
     @property
-    def board(self):
+    def board(self) -> Blackboard:
         """Return the blackboard."""
         return self.serving.board
 
--- a/src/burdocksail/serving/_transactions.py
+++ b/src/burdocksail/serving/_transactions.py
@@ -1,7 +1,7 @@
 """Transactions: begun with their first statement, bound to one connection."""
 
 from burdocksail.board import GroupView
-from burdocksail.catalog import Route
+from burdocksail.catalog import ReadPolicy, Route
 from burdocksail.core import (
     Begin,
     Commit,
@@ -12,6 +12,7 @@
     TransactionState,
 )
 from burdocksail.ports import Reply, Status, UpstreamLost
+from burdocksail.serving._context import Serving, SessionValues
 from burdocksail.serving._exchange import exchange
 from burdocksail.serving._freshness import find_floor, note_position
 from burdocksail.serving._pools import NoConnection, Pool, PooledConnection
@@ -37,7 +38,14 @@
     pauses after BEGIN holds no connection.
     """
 
-    def __init__(self, serving, route: Route, values, read_only: bool, request_id: str):
+    def __init__(
+        self,
+        serving: Serving,
+        route: Route,
+        values: SessionValues,
+        read_only: bool,
+        request_id: str,
+    ):
         self.request_id = request_id
         self._serving = serving
         self._board = serving.board
@@ -119,7 +127,7 @@
         work = Work(self._serving, self._route, self._values, command)
         work.arrived_at = self._board.now()
         while True:
-            if self._read_only and self._route.policy.value != "primary":
+            if self._read_only and self._route.policy is not ReadPolicy.PRIMARY:
                 view, pool = None, await _choose_server(work)
             else:
                 view, pool = await find_primary(work)
@@ -259,7 +267,7 @@
         self._connection = None
         self._serving.open_transactions -= 1
         if self._view is not None:
-            self._board.authority.in_flight[self._view.service] -= 1
+            self._board.authority.in_flight[self._view.service_name] -= 1
 
 
 def _abort(reason: str) -> Failure:
