Recover from a full restart without waiting for one's own earlier run

The servers refused connections over their cap, as they still held those of the dead processes; that counted as an unreachable primary and started a planned change. The change closed the group and then waited for grants of an earlier leader, which was an earlier run of the leader itself. Ruled out: slow store (the claim took 0.3 s), lost order (it was sent after the wait and answered).

--- a/src/burdocksail/agent/_instance.py
+++ b/src/burdocksail/agent/_instance.py
@@ -82,6 +82,15 @@
             return False
         return board.now() < board.authority.evidence_until + EVIDENCE_PATIENCE
 
+    async def wait_for_catalog(self, timeout: float) -> bool:
+        """Wait until there is a configuration; return whether there is one."""
+        board = self.board
+        end = board.now() + timeout
+        while board.catalog.catalog is None:
+            if not await board.changed.wait(end - board.now()):
+                return board.catalog.catalog is not None
+        return True
+
     async def start(self) -> None:
         """Begin all work of this instance."""
         self._log.info("started", incarnation=self.board.member.incarnation)
--- a/src/burdocksail/authority/_grantees.py
+++ b/src/burdocksail/authority/_grantees.py
@@ -44,6 +44,12 @@
     listed: bool = False
     by_address: dict[Address, Grantee] = field(default_factory=dict)
 
+    def settle_address(self, member: Member) -> None:
+        """Note that earlier runs of an instance at its address have ended."""
+        self.unsettled -= {
+            m for m in self.unsettled if m.address == member.address and m != member
+        }
+
     def take_renewal(self, renewal: Renew, now: float) -> Grantee:
         """Note a renewal; another incarnation at an address ends the one before."""
         address = renewal.member.address
@@ -78,7 +84,7 @@
             if grantee.granted_until + CLOCK_MARGIN > now
             and not self._confirms(grantee, generation)
         ]
-        if not self._are_earlier_grants_over(addresses, now):
+        if not self.are_earlier_grants_over(addresses, now):
             names.append("grantees of earlier leaders")
         return names
 
@@ -103,7 +109,8 @@
                 self.unsettled.discard(member)
                 self.settled_at = max(self.settled_at, now)
 
-    def _are_earlier_grants_over(self, addresses: set[Address], now: float) -> bool:
+    def are_earlier_grants_over(self, addresses: set[Address], now: float) -> bool:
+        """Return whether nobody holds evidence of an earlier leader."""
         if now >= self.started_at + RIGHT_DURATION + EVIDENCE_DURATION + CLOCK_MARGIN:
             return True
         if self.unsettled:
--- a/src/burdocksail/authority/_leadership.py
+++ b/src/burdocksail/authority/_leadership.py
@@ -73,6 +73,7 @@
         self.changing = {s for s, g in record.groups.items() if g.changing}
         self.inherited_changes = frozenset(self.changing)
         self.grantees = Grantees(self.epoch, board.now(), set(record.unsettled))
+        self.grantees.settle_address(board.member)
         self._board = board
         self._store = store
         self._peers = peers
@@ -156,9 +157,16 @@
 
     def find_unconfirmed(self, generation: int) -> list[str]:
         """Return who may act on a view older than `generation`."""
-        addresses = {m.address for m in self._board.members.registered.values()}
-        addresses.discard(self._board.member.address)
-        return self.grantees.find_unconfirmed(generation, addresses, self._board.now())
+        return self.grantees.find_unconfirmed(
+            generation, self._registered_addresses(), self._board.now()
+        )
+
+    @property
+    def is_settled(self) -> bool:
+        """Return whether nobody holds evidence of an earlier leader."""
+        return self.grantees.are_earlier_grants_over(
+            self._registered_addresses(), self._board.now()
+        )
 
     async def list_instances(self) -> None:
         """Read the registered instances anew, to know who may hold evidence."""
@@ -288,6 +296,10 @@
         elif board.now() - self._confirmed_at > STORE_PATIENCE:
             self.ask_to_take_over("the store does not answer here")
 
+    def _registered_addresses(self) -> set[tuple[str, int]]:
+        addresses = {m.address for m in self._board.members.registered.values()}
+        return addresses - {self._board.member.address}
+
     def _addresses(self) -> set[tuple[str, int]]:
         return self._board.members.addresses() - {self._board.member.address}
 
--- a/src/burdocksail/authority/_watchdog.py
+++ b/src/burdocksail/authority/_watchdog.py
@@ -29,6 +29,10 @@
     UNFINISHED = "a change was not finished"
 
 
+# A planned change closes the group until nobody holds earlier evidence, so it
+# waits for that while the primary still serves.
+LEAVING_PATIENCE = 3.0  # seconds; a leaving server serves for several more
+
 PLANNED = frozenset({Need.LEAVING, Need.PARTLY_UNREACHABLE})
 
 
@@ -131,7 +135,7 @@
         if upstream is None:
             return Need.GONE
         if upstream.state is UpstreamState.DRAINING:
-            return Need.LEAVING
+            return self._wait_until_settled(view, Need.LEAVING)
         return self._judge_reachability(view)
 
     def _judge_reachability(self, view: GroupView) -> Need:
@@ -146,10 +150,17 @@
             return self._after(view, Need.UNREACHABLE, UNREACHABLE_PATIENCE)
         self._since.pop((view.service_name, Need.UNREACHABLE), None)
         if share >= PARTLY_SHARE:
+            if not self._leadership.is_settled:
+                return Need.NONE
             return self._after(view, Need.PARTLY_UNREACHABLE, PARTLY_PATIENCE)
         self._since.pop((view.service_name, Need.PARTLY_UNREACHABLE), None)
         return Need.NONE
 
+    def _wait_until_settled(self, view: GroupView, need: Need) -> Need:
+        if self._leadership.is_settled:
+            return need
+        return self._after(view, need, LEAVING_PATIENCE)
+
     def _after(self, view: GroupView, need: Need, patience: float) -> Need:
         now = self._board.now()
         since = self._since.setdefault((view.service_name, need), now)
--- a/src/burdocksail/serving/_freshness.py
+++ b/src/burdocksail/serving/_freshness.py
@@ -153,7 +153,7 @@
         try:
             connection = await pool.acquire(PROBE_PRIORITY, PROBE_TIMEOUT)
         except NoConnection as error:
-            if pool.last_failure:
+            if error.unreachable:
                 self._note_unreachable(view, str(error))
             return
         asked_at = self._board.now()
--- a/src/burdocksail/serving/_pools.py
+++ b/src/burdocksail/serving/_pools.py
@@ -24,12 +24,25 @@
 MIN_CONNECTIONS = 2
 LIMITED_PAUSE = 1.0  # seconds without new connections after a server refused one
 FAILED_PAUSE = 0.1  # seconds without new connections after one failed
-SURPLUS_IDLE = 3.0  # seconds until an idle connection beyond the fair share closes
+# Servers keep the connections of an instance that lost power for seconds, so the
+# fleet should need no more than half of what they take.
+SURPLUS_SHARE = 0.5
+SURPLUS_IDLE = 3.0  # seconds until an idle connection beyond that share closes
 LATENCY_WEIGHT = 0.1  # of the newest sample in the moving average
 
 
 class NoConnection(BurdocksailError):
-    """No connection could be had in time; nothing was sent."""
+    """No connection could be had in time; nothing was sent.
+
+    Attributes
+    ----------
+    unreachable : bool
+        Whether connections to the server failed, as opposed to all being taken.
+    """
+
+    def __init__(self, message: str, unreachable: bool = False):
+        super().__init__(message)
+        self.unreachable = unreachable
 
 
 @dataclass(slots=True)
@@ -90,7 +103,8 @@
     def __init__(self, board: Blackboard, connector: Connector, upstream: Upstream):
         self.upstream = upstream
         self.statistics = ServerStatistics()
-        self.last_failure: str = ""
+        self._failure = ""
+        self._unreachable = False
         self._board = board
         self._connector = connector
         self._idle: list[PooledConnection] = []
@@ -133,7 +147,9 @@
         if done:
             return waiter.result()
         waiter.cancel()
-        raise NoConnection(self.last_failure or "all connections are in use")
+        raise NoConnection(
+            self._failure or "all connections are in use", self._unreachable
+        )
 
     def release(self, connection: PooledConnection) -> None:
         """Take a connection back."""
@@ -151,10 +167,11 @@
         self.release(connection)
 
     def close_surplus(self) -> None:
-        """Close what has been idle beyond this instance's fair share."""
+        """Close what has been idle beyond half of this instance's fair share."""
         limit = self._board.now() - SURPLUS_IDLE
         self._idle = [c for c in self._idle if c.is_open]
-        while self.size > self._fair_share() and self._idle:
+        kept = max(1.0, self._fair_share() * SURPLUS_SHARE)
+        while self.size > kept and self._idle:
             if self._idle[0].idle_since > limit:
                 return
             self._idle.pop(0).close()
@@ -206,19 +223,21 @@
             limited = isinstance(error, TooManyConnections)
             pause = LIMITED_PAUSE if limited else FAILED_PAUSE
             self._pause_until = board.now() + pause
-            self.last_failure = str(error) or type(error).__name__
+            self._failure = str(error) or type(error).__name__
+            self._unreachable = not limited
             board.metrics.count("connections_failed")
             self._log.info(
                 "connection failed",
                 upstream=self.upstream.id,
-                reason=self.last_failure,
+                reason=self._failure,
                 open=self.size,
             )
             if not self._in_use:
-                self._fail_waiters(self.last_failure)
+                self._fail_waiters(self._failure, self._unreachable)
             return
         self._opening -= 1
-        self.last_failure = ""
+        self._failure = ""
+        self._unreachable = False
         board.metrics.count("connections_opened")
         connection = PooledConnection(self.upstream, raw, idle_since=board.now())
         if self._closed:
@@ -226,11 +245,11 @@
         else:
             self._hand_out(connection)
 
-    def _fail_waiters(self, reason: str) -> None:
+    def _fail_waiters(self, reason: str, unreachable: bool = False) -> None:
         waiters, self._waiters = self._waiters, []
         for _, _, waiter in waiters:
             if not waiter.done():
-                waiter.set_exception(NoConnection(reason))
+                waiter.set_exception(NoConnection(reason, unreachable))
 
     def _fair_share(self) -> float:
         catalog = self._board.catalog.catalog
--- a/src/burdocksail/serving/_statements.py
+++ b/src/burdocksail/serving/_statements.py
@@ -16,7 +16,7 @@
 
 # Shares of the route's limits.
 OFFER_SHARE = 0.6  # of the target latency, for tries before a refusal
-WAIT_SHARE = 0.8  # of the statement timeout, to wait for a change of primary
+WAIT_SHARE = 0.45  # of the statement timeout, to wait for a change of primary
 FIRST_TRY_SHARE = 0.4  # of the statement timeout, for a read's first server
 EVIDENCE_SHARE = 0.2  # of the target latency, to wait for evidence to return
 
@@ -119,6 +119,8 @@
     """
     board = work.board
     view = board.authority.groups.get(work.route.service)
+    if board.authority.last_grant is None:
+        return patience, "this instance has just started"
     if view is not None and view.state is not GroupState.OPEN:
         return patience, "the primary is being replaced"
     if view is not None and board.now() < board.authority.evidence_until:
