--- /dev/null
+++ b/src/burdocksail/fakes/_store.py
@@ -0,0 +1,152 @@
+"""A store in memory, with the ways in which a store lets its callers down."""
+
+import asyncio
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from typing import Any
+
+from burdocksail.board import Signal
+from burdocksail.ports import (
+    HistoryLost,
+    Kind,
+    Listing,
+    StoreConflict,
+    StoredObject,
+    StoreEvent,
+    StoreEvents,
+    StoreUnavailable,
+)
+
+ANSWER_DELAY = 0.004  # seconds
+
+
+@dataclass(frozen=True, slots=True)
+class _Change:
+    revision: int
+    kind: Kind
+    event: StoreEvent
+
+
+@dataclass(slots=True)
+class MemoryStore:
+    """Objects with revisions, shared by all clients."""
+
+    revision: int = 1
+    objects: dict[tuple[Kind, str], StoredObject] = field(default_factory=dict)
+    changes: list[_Change] = field(default_factory=list)
+    first_known: int = 1
+    changed: Signal = field(default_factory=Signal)
+
+    def put(self, kind: Kind, name: str, spec: Mapping[str, Any]) -> StoredObject:
+        """Write an object; writing the same again changes nothing."""
+        known = self.objects.get((kind, name))
+        if known is not None and known.spec == spec:
+            return known
+        self.revision += 1
+        stored = StoredObject(name, self.revision, dict(spec))
+        self.objects[(kind, name)] = stored
+        self._note(kind, stored, removed=False)
+        return stored
+
+    def remove(self, kind: Kind, name: str) -> None:
+        """Remove an object."""
+        stored = self.objects.pop((kind, name), None)
+        if stored is not None:
+            self.revision += 1
+            gone = StoredObject(name, self.revision, stored.spec)
+            self._note(kind, gone, removed=True)
+
+    def forget_history(self) -> None:
+        """Discard what a watch could go on from."""
+        self.changes.clear()
+        self.first_known = self.revision + 1
+        self.changed.notify()
+
+    def _note(self, kind: Kind, stored: StoredObject, removed: bool) -> None:
+        self.changes.append(_Change(self.revision, kind, StoreEvent(stored, removed)))
+        self.changed.notify()
+
+
+@dataclass(slots=True)
+class MemoryStoreClient:
+    """One instance's way to the store.
+
+    Attributes
+    ----------
+    down : bool
+        Whether calls are refused.
+    lose_answers : bool
+        Whether changes are made without an answer.
+    """
+
+    store: MemoryStore
+    down: bool = False
+    lose_answers: bool = False
+    delay: float = ANSWER_DELAY
+
+    async def list(self, kind: Kind) -> Listing:
+        """Return all objects of a kind."""
+        await self._travel()
+        items = tuple(o for (k, _), o in self.store.objects.items() if k is kind)
+        return Listing(items, self.store.revision)
+
+    async def watch(self, kind: Kind, revision: int, wait: float) -> StoreEvents:
+        """Return the changes after a revision."""
+        await self._travel()
+        loop = asyncio.get_running_loop()
+        end = loop.time() + wait
+        while True:
+            if revision + 1 < self.store.first_known:
+                raise HistoryLost("discarded")
+            events = tuple(
+                c.event
+                for c in self.store.changes
+                if c.revision > revision and c.kind is kind
+            )
+            if events or loop.time() >= end:
+                return StoreEvents(events, self.store.revision)
+            await self.store.changed.wait(min(0.2, end - loop.time()))
+            self._check()
+
+    async def read(self, kind: Kind, name: str) -> StoredObject | None:
+        """Return one object."""
+        await self._travel()
+        return self.store.objects.get((kind, name))
+
+    async def create(
+        self, kind: Kind, name: str, spec: Mapping[str, Any]
+    ) -> StoredObject:
+        """Create an object."""
+        await self._travel()
+        known = self.store.objects.get((kind, name))
+        if known is not None:
+            raise StoreConflict("exists", known)
+        return self._answer(self.store.put(kind, name, spec))
+
+    async def replace(
+        self, kind: Kind, name: str, spec: Mapping[str, Any], revision: int | None
+    ) -> StoredObject:
+        """Replace an object."""
+        await self._travel()
+        known = self.store.objects.get((kind, name))
+        if known is None or (revision is not None and known.revision != revision):
+            raise StoreConflict("another revision", known)
+        return self._answer(self.store.put(kind, name, spec))
+
+    async def delete(self, kind: Kind, name: str, revision: int) -> None:
+        """Remove an object."""
+        await self._travel()
+        self.store.remove(kind, name)
+
+    async def _travel(self) -> None:
+        await asyncio.sleep(self.delay)
+        self._check()
+
+    def _check(self) -> None:
+        if self.down:
+            raise StoreUnavailable("down")
+
+    def _answer(self, stored: StoredObject) -> StoredObject:
+        if self.lose_answers:
+            raise StoreUnavailable("no answer", unknown=True)
+        return stored
