Add fakes in memory and random worlds on a virtual clock

Change: every try after the first is preceded by a pause. An earlier leader is carried in the record until its grants have run out, so that a third leader does not take them for over. The search for a lost primary no longer waits for that primary.

--- a/src/burdocksail/agent/__init__.py
+++ b/src/burdocksail/agent/__init__.py
@@ -1,7 +1,7 @@
 """One instance of the proxy as a process, whatever protocols surround it."""
 
-from burdocksail.agent._instance import InstanceProcess, PeerPort
+from burdocksail.agent._instance import InstanceProcess, PeersFactory
 from burdocksail.agent._logging import configure_logging
 from burdocksail.agent._sessions import SessionRegistry
 
-__all__ = ["InstanceProcess", "PeerPort", "SessionRegistry", "configure_logging"]
+__all__ = ["InstanceProcess", "PeersFactory", "SessionRegistry", "configure_logging"]
--- a/src/burdocksail/agent/_instance.py
+++ b/src/burdocksail/agent/_instance.py
@@ -1,9 +1,8 @@
 """Puts all controllers of one instance together, and stops them in order."""
 
 import asyncio
-from collections.abc import Coroutine
-from dataclasses import dataclass
-from typing import Any
+from collections.abc import Callable, Coroutine
+from typing import Any, Protocol
 
 import structlog
 
@@ -12,8 +11,12 @@
 from burdocksail.authority import AuthorityController
 from burdocksail.board import Blackboard
 from burdocksail.fleet import (
-    DatagramPeers,
+    Address,
+    Message,
+    MessageError,
+    Peers,
     Registration,
+    Snapshot,
     SnapshotExchange,
     StoreTracker,
 )
@@ -28,12 +31,26 @@
 EVIDENCE_PATIENCE = 2.0  # seconds without evidence until callers are sent elsewhere
 
 
-@dataclass(frozen=True, slots=True)
-class PeerPort:
-    """Address at which this instance takes messages of others."""
+class OpenPeers(Peers, Protocol):
+    """Peers that listen at the address of this instance."""
 
-    host: str
-    port: int
+    async def open(self, host: str, port: int) -> None:
+        """Listen."""
+        ...
+
+    def close(self) -> None:
+        """Stop listening."""
+        ...
+
+
+PeersFactory = Callable[
+    [
+        Callable[[Message, Address], None],
+        Callable[[], Snapshot],
+        Callable[[Address, MessageError], None],
+    ],
+    OpenPeers,
+]
 
 
 class InstanceProcess:
@@ -46,16 +63,15 @@
         translator: Translator,
         connector: Connector,
         promoter: Promoter,
-        peer_port: PeerPort,
-        log_buffer: LineBuffer,
+        make_peers: PeersFactory,
+        log_buffer: LineBuffer | None = None,
     ):
         self.board = board
         self.sessions = SessionRegistry()
-        self._peer_port = peer_port
         self._log_buffer = log_buffer
         self._pools = Pools(board, connector)
         self.serving = Serving(board, self._pools)
-        self._peers = DatagramPeers(
+        self._peers = make_peers(
             lambda message, address: self._authority.handle_message(message, address),
             lambda: self._snapshots.take(),
             self._report_malformed,
@@ -94,7 +110,7 @@
     async def start(self) -> None:
         """Begin all work of this instance."""
         self._log.info("started", incarnation=self.board.member.incarnation)
-        await self._peers.open(self._peer_port.host, self._peer_port.port)
+        await self._peers.open(*self.board.member.address)
         for work in (
             self._tracker.follow_catalog(),
             self._tracker.follow_upstreams(),
@@ -134,7 +150,16 @@
         await self._withdraw()
         self._pools.close()
         self._log.info("stopped", took=round(board.now() - started, 3))
-        self._log_buffer.flush()
+        if self._log_buffer is not None:
+            self._log_buffer.flush()
+
+    def kill(self) -> None:
+        """End all work at once, as a crash would."""
+        for task in self._tasks:
+            task.cancel()
+        self._authority.kill()
+        self._pools.close()
+        self._peers.close()
 
     def note_reload(self) -> None:
         """Note that the settings have changed.
@@ -186,7 +211,8 @@
 
     async def _flush_logs(self) -> None:
         while True:
-            self._log_buffer.flush()
+            if self._log_buffer is not None:
+                self._log_buffer.flush()
             await asyncio.sleep(FLUSH_INTERVAL)
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
@@ -198,7 +224,8 @@
         self._tasks.discard(task)
         if not task.cancelled() and task.exception() is not None:
             self._log.critical("controller failed", error=repr(task.exception()))
-            self._log_buffer.flush()
+            if self._log_buffer is not None:
+                self._log_buffer.flush()
             # A process without one of its controllers would go on with stale
             # knowledge; the platform starts a whole one.
             raise SystemExit(1)
--- a/src/burdocksail/authority/_change.py
+++ b/src/burdocksail/authority/_change.py
@@ -117,10 +117,16 @@
             await self._wait_for_work_in_flight(generation)
             stepped = await self._step_down()
         generation = self._set_state(GroupState.CLOSED)
-        if stepped is None and not self._planned:
-            stepped = await self._step_down()
-        await self._wait_until_confirmed(generation)
-        return stepped
+        if self._planned:
+            await self._wait_until_confirmed(generation)
+            return stepped
+        # The old primary hardly answers, so nothing waits for it.
+        stepping = asyncio.create_task(self._step_down())
+        try:
+            await self._wait_until_confirmed(generation)
+            return stepping.result() if stepping.done() else None
+        finally:
+            stepping.cancel()
 
     async def _wait_for_work_in_flight(self, generation: int) -> None:
         leadership = self._leadership
@@ -136,11 +142,12 @@
         old = self._board.directory.upstreams.get(self._old.primary_id)
         if old is None:
             return None
-        timeout = STEP_DOWN_TIMEOUT if self._planned else STEP_DOWN_TIMEOUT / 2
-        status = await self._inspector.inspect(old, timeout)
+        status = await self._inspector.inspect(old, STEP_DOWN_TIMEOUT)
         if status is None or not status.is_primary:
             return status
-        stepped = await self._inspector.step_down(old, status.term + 1, timeout)
+        stepped = await self._inspector.step_down(
+            old, status.term + 1, STEP_DOWN_TIMEOUT
+        )
         self._log.info("old primary asked to step down", confirmed=stepped is not None)
         return stepped
 
--- a/src/burdocksail/authority/_controller.py
+++ b/src/burdocksail/authority/_controller.py
@@ -98,6 +98,13 @@
         if self._leadership is not None and self.is_leading():
             self._leadership.ask_to_take_over("stopping")
 
+    def kill(self) -> None:
+        """End all work at once, as a crash would."""
+        if self._leadership is not None:
+            self._leadership.end("killed")
+        for task in self._tasks:
+            task.cancel()
+
     def say_farewell(self) -> None:
         """Drop the evidence for good."""
         self._follower.say_farewell()
--- a/src/burdocksail/authority/_follower.py
+++ b/src/burdocksail/authority/_follower.py
@@ -18,7 +18,7 @@
     SnapshotExchange,
 )
 
-UNREACHABLE_AFTER = 0.4  # seconds; a report must not follow from one lost packet
+UNREACHABLE_AFTER = 0.25  # seconds beyond the probe that was not answered
 
 
 class Follower:
--- a/src/burdocksail/authority/_grantees.py
+++ b/src/burdocksail/authority/_grantees.py
@@ -25,6 +25,14 @@
     granted_until: float = float("-inf")
 
 
+@dataclass(frozen=True, slots=True)
+class Settled:
+    """An earlier leader of which it is known when it stops granting."""
+
+    members: tuple[Member, ...]
+    stops_at: float
+
+
 @dataclass(slots=True)
 class Grantees:
     """The instances that a leader has heard from in its epoch.
@@ -35,8 +43,8 @@
         The leader itself.
     unsettled : dict of Member to tuple of Member
         Earlier leaders that may still grant evidence, with their members.
-    settled_at : float
-        When the last of them was known to have stopped granting.
+    settled : dict of Member to Settled
+        Earlier leaders that have stopped granting, or will have soon.
     listed : bool
         Whether the registered instances were read after the claim.
     """
@@ -45,7 +53,7 @@
     epoch: int
     started_at: float
     unsettled: dict[Member, tuple[Member, ...]]
-    settled_at: float = float("-inf")
+    settled: dict[Member, Settled] = field(default_factory=dict)
     listed: bool = False
     by_address: dict[Address, Grantee] = field(default_factory=dict)
 
@@ -71,7 +79,16 @@
             else:
                 continue
             del self.unsettled[leader]
-            self.settled_at = max(self.settled_at, stopped_at)
+            self.settled[leader] = Settled(members, stopped_at)
+
+    def find_earlier_leaders(self, now: float) -> dict[Member, tuple[Member, ...]]:
+        """Return the earlier leaders whose grants may not have run out."""
+        running = {
+            leader: settled.members
+            for leader, settled in self.settled.items()
+            if now < settled.stops_at + EVIDENCE_DURATION + CLOCK_MARGIN
+        }
+        return {**self.unsettled, **running}
 
     def has_majority(self, members: frozenset[Member], now: float) -> bool:
         """Return whether most of `members` renew with this leader."""
@@ -120,10 +137,10 @@
         """Return whether nobody holds evidence of an earlier leader."""
         if now >= self.started_at + RIGHT_DURATION + EVIDENCE_DURATION + CLOCK_MARGIN:
             return True
-        if self.unsettled:
+        if not self.find_earlier_leaders(now):
+            return True
+        if self.unsettled or any(s.stops_at > now for s in self.settled.values()):
             return False
-        if now >= self.settled_at + EVIDENCE_DURATION + CLOCK_MARGIN:
-            return now >= self.started_at + EVIDENCE_DURATION + CLOCK_MARGIN
         return self.listed and all(self._has_adopted(a) for a in addresses)
 
     def _has_left(self, member: Member) -> bool:
--- a/src/burdocksail/authority/_leadership.py
+++ b/src/burdocksail/authority/_leadership.py
@@ -297,11 +297,12 @@
             )
             for view in self.views.values()
         }
+        earlier = self.grantees.find_earlier_leaders(self._board.now())
         return AuthorityRecord(
             self.epoch,
             self._board.member,
             self._find_members(),
-            tuple(EarlierLeader(*item) for item in self.grantees.unsettled.items()),
+            tuple(EarlierLeader(*item) for item in earlier.items()),
             groups,
         )
 
--- a/src/burdocksail/authority/_watchdog.py
+++ b/src/burdocksail/authority/_watchdog.py
@@ -13,7 +13,7 @@
 
 POLL_INTERVAL = 0.1  # seconds
 RETRY_DELAY = 0.3  # seconds after a change that failed
-UNREACHABLE_PATIENCE = 0.3  # seconds beyond those of the instances that report it
+UNREACHABLE_PATIENCE = 0.1  # seconds beyond those of the instances that report it
 PARTLY_PATIENCE = 1.5  # seconds; a short cut costs less than a change
 PARTLY_SHARE = 0.3  # of the instances; fewer are served worse than by a change
 
--- /dev/null
+++ b/src/burdocksail/fakes/__init__.py
@@ -0,0 +1,20 @@
+"""What surrounds the instances, in memory, for tests that take no time."""
+
+from burdocksail.fakes._fleet import SERVICE, Fleet, make_catalog
+from burdocksail.fakes._servers import MemoryConnector, MemoryDatabase, MemoryServer
+from burdocksail.fakes._store import MemoryStore, MemoryStoreClient
+from burdocksail.fakes._virtual_loop import LoopTimer, VirtualLoop, run_virtually
+
+__all__ = [
+    "SERVICE",
+    "Fleet",
+    "LoopTimer",
+    "MemoryConnector",
+    "MemoryDatabase",
+    "MemoryServer",
+    "MemoryStore",
+    "MemoryStoreClient",
+    "VirtualLoop",
+    "make_catalog",
+    "run_virtually",
+]
--- /dev/null
+++ b/src/burdocksail/fakes/_fleet.py
@@ -0,0 +1,203 @@
+"""A fleet of instances on one virtual event loop."""
+
+import asyncio
+import itertools
+from dataclasses import dataclass, field
+from functools import partial
+
+from burdocksail.agent import InstanceProcess
+from burdocksail.board import Blackboard, Member
+from burdocksail.catalog import (
+    Catalog,
+    ReadPolicy,
+    Route,
+    Service,
+    Upstream,
+    UpstreamRole,
+    UpstreamState,
+)
+from burdocksail.fakes._network import MemoryNetwork, MemoryPeers
+from burdocksail.fakes._servers import (
+    MemoryConnector,
+    MemoryDatabase,
+    MemoryPromoter,
+    MemoryServer,
+)
+from burdocksail.fakes._store import MemoryStore, MemoryStoreClient
+from burdocksail.fakes._virtual_loop import LoopTimer
+from burdocksail.ports import Kind, StoredObject
+from burdocksail.serving import CallerSession
+
+SERVICE = "orders"
+PORT = 7440
+DOMAINS = ("north", "east", "south")
+HEARTBEAT = 0.2  # seconds
+LAPSE = 0.6  # seconds of silence until an entry is removed
+MAX_AGE = 1.5  # seconds
+
+
+class MemoryTranslator:
+    """Objects of the memory store hold the product's own records."""
+
+    def decode_upstream(self, stored: StoredObject) -> Upstream | None:
+        """Return the upstream of an entry."""
+        return stored.spec.get("upstream")
+
+    def decode_catalog(self, stored: StoredObject) -> Catalog | None:
+        """Return the catalog of an object."""
+        return stored.spec.get("catalog")
+
+
+def make_catalog(version: int = 1, databases: tuple[str, ...] = ()) -> Catalog:
+    """Return a catalog with a route of each policy for the one service."""
+    routes = {
+        policy.value: Route(
+            name=policy.value,
+            database=policy.value,
+            service=SERVICE,
+            policy=policy,
+            max_age=None if policy is ReadPolicy.PRIMARY else MAX_AGE,
+            statement_timeout=1.0,
+            target_latency=1.0,
+            priority=1,
+        )
+        for policy in ReadPolicy
+    }
+    for database in databases:
+        routes[database] = routes[ReadPolicy.PRIMARY.value]
+    return Catalog(version, routes, {SERVICE: Service(SERVICE, 60, 0)}, 3.0, 1 << 18)
+
+
+@dataclass(slots=True)
+class Fleet:
+    """Instances, servers, store and network of one test."""
+
+    store: MemoryStore = field(default_factory=MemoryStore)
+    network: MemoryNetwork = field(default_factory=MemoryNetwork)
+    database: MemoryDatabase = field(default_factory=MemoryDatabase)
+    instances: dict[str, InstanceProcess] = field(default_factory=dict)
+    clients: dict[str, MemoryStoreClient] = field(default_factory=dict)
+    draining: set[str] = field(default_factory=set)
+    _tasks: list[asyncio.Task] = field(default_factory=list)
+    _incarnations: itertools.count = field(default_factory=itertools.count)
+    _heard: dict[str, float] = field(default_factory=dict)
+    heartbeats_stop: bool = False
+
+    async def start(self, instances: int = 3, servers: int = 3) -> None:
+        """Start servers, then instances, and wait until all are ready."""
+        for index in range(servers):
+            name = f"server-{index}"
+            domain = DOMAINS[index % len(DOMAINS)]
+            server = MemoryServer(name, SERVICE, domain, is_primary=index == 0)
+            self.database.servers[name] = server
+        self.publish(make_catalog())
+        self._beat()
+        self._tasks.append(asyncio.create_task(self.database.replicate()))
+        self._tasks.append(asyncio.create_task(self._beat_forever()))
+        for index in range(instances):
+            await self.start_instance(f"instance-{index}")
+        await self.wait_until_ready()
+
+    async def start_instance(self, name: str) -> InstanceProcess:
+        """Start an instance, or start it again after it was killed."""
+        index = int(name.rpartition("-")[2])
+        loop = asyncio.get_running_loop()
+        member = Member(
+            name,
+            f"run-{next(self._incarnations)}",
+            DOMAINS[index % len(DOMAINS)],
+            self.host(name),
+            PORT,
+        )
+        board = Blackboard(member, LoopTimer(loop), {d: d for d in DOMAINS})
+        board.members.seeds = ((self.host("instance-0"), PORT),)
+        client = self.clients.setdefault(name, MemoryStoreClient(self.store))
+        instance = InstanceProcess(
+            board,
+            client,
+            MemoryTranslator(),
+            MemoryConnector(self.database, name),
+            MemoryPromoter(self.database),
+            partial(MemoryPeers, self.network),
+        )
+        self.instances[name] = instance
+        await instance.start()
+        return instance
+
+    def kill(self, name: str) -> None:
+        """End an instance at once."""
+        self.instances.pop(name).kill()
+
+    def host(self, name: str) -> str:
+        """Return the address of an instance."""
+        return f"10.0.0.{int(name.rpartition('-')[2]) + 1}"
+
+    def hosts(self) -> list[str]:
+        """Return the addresses of all instances."""
+        return [self.host(name) for name in self.clients]
+
+    def publish(self, catalog: Catalog) -> None:
+        """Accept a configuration."""
+        self.store.put(Kind.CATALOG, "main", {"catalog": catalog})
+
+    def leader(self) -> InstanceProcess | None:
+        """Return the instance that leads by its own account."""
+        leading = [i for i in self.instances.values() if i.describe()["leading"]]
+        return max(leading, key=lambda i: i.board.authority.epoch, default=None)
+
+    def session(self, name: str, policy: ReadPolicy) -> CallerSession:
+        """Open a session at an instance."""
+        return CallerSession(self.instances[name].serving, policy.value)
+
+    async def wait_until_ready(self, timeout: float = 20.0) -> None:
+        """Wait until every instance is ready and has evidence."""
+        loop = asyncio.get_running_loop()
+        end = loop.time() + timeout
+        while not all(self._serves(i) for i in self.instances.values()):
+            if loop.time() > end:
+                raise TimeoutError("the fleet does not get ready")
+            await asyncio.sleep(0.05)
+
+    def stop(self) -> None:
+        """End everything."""
+        for name in list(self.instances):
+            self.kill(name)
+        for task in self._tasks:
+            task.cancel()
+
+    def _serves(self, instance: InstanceProcess) -> bool:
+        board = instance.board
+        started = board.authority.may_start(SERVICE, board.now()) is not None
+        return instance.is_ready and started
+
+    async def _beat_forever(self) -> None:
+        while True:
+            await asyncio.sleep(HEARTBEAT)
+            self._beat()
+
+    def _beat(self) -> None:
+        now = asyncio.get_running_loop().time()
+        for server in self.database.servers.values():
+            if server.alive and "*" not in server.cut_from and not self.heartbeats_stop:
+                self._heard[server.upstream_id] = now
+                self.store.put(
+                    Kind.UPSTREAMS,
+                    server.upstream_id,
+                    {"upstream": self._describe(server)},
+                )
+            elif now - self._heard.get(server.upstream_id, 0.0) > LAPSE:
+                self.store.remove(Kind.UPSTREAMS, server.upstream_id)
+
+    def _describe(self, server: MemoryServer) -> Upstream:
+        leaving = server.upstream_id in self.draining
+        return Upstream(
+            id=server.upstream_id,
+            service=server.service,
+            host=server.upstream_id,
+            port=1,
+            failure_domain=server.failure_domain,
+            slots=4,
+            state=UpstreamState.DRAINING if leaving else UpstreamState.READY,
+            role=UpstreamRole.PRIMARY if server.is_primary else UpstreamRole.REPLICA,
+            born=1,
+        )
--- a/src/burdocksail/fakes/_servers.py
+++ b/src/burdocksail/fakes/_servers.py
@@ -31,7 +31,7 @@
     WrongUpstream,
 )
 
-REPLICATION_INTERVAL = 0.01  # seconds
+REPLICATION_INTERVAL = 0.02  # seconds
 PROMOTE_DELAY = 0.3  # seconds
 NOTICE_DELAY = 1.0  # seconds until an old primary that sees the new one gives up
 
@@ -118,9 +118,10 @@
         return [s for s in self.servers.values() if s.service == service]
 
     def leading(self, service: str) -> MemoryServer:
-        """Return the primary of the latest term."""
-        primaries = [s for s in self.of_service(service) if s.is_primary]
-        return max(primaries, key=lambda server: server.term)
+        """Return the primary of the latest term, else the last one's heir."""
+        return max(
+            self.of_service(service), key=lambda s: (s.is_primary, s.term, s.position)
+        )
 
     async def replicate(self) -> None:
         """Carry logs to replicas for ever."""
@@ -135,6 +136,8 @@
         for server in self.of_service(service):
             if server is leading or not server.alive or not leading.alive:
                 continue
+            if not leading.is_primary:
+                continue
             linked = server.is_reachable_from(leading.upstream_id)
             if not linked or leading.upstream_id in server.cut_from:
                 continue
@@ -162,17 +165,13 @@
             raise PromotionUnknown("no answer")
 
     def _take_lead(self, server: MemoryServer) -> None:
-        leading = self.leading(server.service) if self._has_primary(server) else None
-        if leading is server:
+        if server.is_primary and self.leading(server.service) is server:
             return
         server.term = max(s.term for s in self.of_service(server.service)) + 1
         server.is_primary = True
         now = asyncio.get_running_loop().time()
         self.promotions.append((now, server.service, server.upstream_id, server.term))
 
-    def _has_primary(self, server: MemoryServer) -> bool:
-        return any(s.is_primary for s in self.of_service(server.service))
-
     def note_read(self, server: MemoryServer) -> str:
         """Remember what a read ran on; return the row that names it."""
         token = f"read-{next(self._tokens)}"
--- /dev/null
+++ b/src/burdocksail/fakes/_world.py
@@ -0,0 +1,398 @@
+"""Random worlds: callers, faults, and an observer that keeps no secret.
+
+The observer sees what callers are told and what the servers' logs hold, and
+nothing that an instance believes.
+"""
+
+import asyncio
+import itertools
+import random
+from dataclasses import dataclass, field
+
+from burdocksail.catalog import ReadPolicy
+from burdocksail.core import (
+    Begin,
+    Commit,
+    LogPosition,
+    Refusal,
+    Rollback,
+    Run,
+    TransactionState,
+)
+from burdocksail.fakes._fleet import MAX_AGE, SERVICE, Fleet, make_catalog
+from burdocksail.serving import CallerReply, CallerSession
+
+PROMISES = frozenset(
+    {Refusal.BUSY, Refusal.ABORTED, Refusal.READ_ONLY, Refusal.LAGGING}
+)
+CALLERS = 6
+CALLER_PAUSE = 0.25  # seconds between operations of a caller
+FAULT_PAUSE = 1.5  # seconds between faults, on average
+FAULT_LENGTHS = (0.5, 8.0)  # seconds
+QUIET_END = 20.0  # seconds without faults, after which all must serve again
+
+
+@dataclass(frozen=True, slots=True)
+class Acknowledged:
+    """A write that a caller was told of."""
+
+    request_id: str
+    position: LogPosition
+    session: str
+    told_at: float
+
+
+@dataclass(slots=True)
+class Observer:
+    """Checks the promises from outside."""
+
+    fleet: Fleet
+    acknowledged: dict[str, Acknowledged] = field(default_factory=dict)
+    promised_not_kept: set[str] = field(default_factory=set)
+    broken: list[str] = field(default_factory=list)
+    answered: int = 0
+    refused: int = 0
+
+    def note_write(
+        self, reply: CallerReply, request_id: str, session: str, now: float
+    ) -> None:
+        """Take the answer to a write or to the COMMIT of one."""
+        if reply.refusal in PROMISES:
+            self.promised_not_kept.add(request_id)
+        elif reply.refusal is None:
+            self._check_acknowledged(request_id, now)
+            entry = self._find(request_id)
+            if entry is not None:
+                self.acknowledged[request_id] = Acknowledged(
+                    request_id, entry, session, now
+                )
+
+    def check_read(
+        self,
+        reply: CallerReply,
+        policy: ReadPolicy,
+        session: str,
+        first_byte: float,
+    ) -> None:
+        """Compare what a read ran on with what it had to see."""
+        read = self.fleet.database.reads[reply.rows[0]]
+        survivors = self._surviving()
+        for write in self.acknowledged.values():
+            if write.position not in survivors:
+                continue  # A promotion rolled it back.
+            own = policy is ReadPolicy.OWN_WRITES and write.session == session
+            age = 0.0 if policy is ReadPolicy.PRIMARY or own else MAX_AGE
+            if write.told_at < first_byte - age and (
+                write.position not in read.positions
+            ):
+                self._break(
+                    f"stale read on {read.server} ({policy.value}) lacks "
+                    f"{write.request_id} at {write.position}"
+                )
+
+    def check_end(self) -> None:
+        """Check what is known only at the end."""
+        for server in self.fleet.database.servers.values():
+            ids = [entry.request_id for entry in server.log]
+            if len(ids) != len(set(ids)):
+                self._break(f"a write took effect twice at {server.upstream_id}")
+        kept = {e.request_id for e in self.fleet.database.leading(SERVICE).log}
+        for request_id in self.promised_not_kept & kept:
+            self._break(f"{request_id} is kept though its caller was told it is not")
+        fences = [fence for _, fence in self.fleet.database.fences]
+        if fences != sorted(fences):
+            self._break(f"the fence went back: {fences}")
+
+    def _check_acknowledged(self, request_id: str, now: float) -> None:
+        """A write is acknowledged only if no replaced primary took it."""
+        promotions = self.fleet.database.promotions
+        for server in self.fleet.database.servers.values():
+            for entry in server.log:
+                if entry.request_id != request_id:
+                    continue
+                later = [
+                    at
+                    for at, _, _, term in promotions
+                    if term > entry.position.term and at < entry.at
+                ]
+                if later and server.term <= entry.position.term:
+                    self._break(f"{request_id} acknowledged by a replaced primary")
+
+    def _find(self, request_id: str) -> LogPosition | None:
+        for server in self.fleet.database.servers.values():
+            for entry in reversed(server.log):
+                if entry.request_id == request_id:
+                    return entry.position
+        return None
+
+    def _surviving(self) -> frozenset[LogPosition]:
+        leading = self.fleet.database.leading(SERVICE)
+        return frozenset(entry.position for entry in leading.log)
+
+    def _break(self, what: str) -> None:
+        now = asyncio.get_running_loop().time()
+        self.broken.append(f"{now - 1000:.3f}: {what}")
+
+
+class World:
+    """One seeded run."""
+
+    def __init__(self, seed: int, instances: int = 4):
+        self.random = random.Random(seed)
+        self.fleet = Fleet()
+        self.observer = Observer(self.fleet)
+        self._instances = instances
+        self._ids = itertools.count()
+        self._stopping = False
+        self.faults: list[str] = []
+
+    async def run(self, duration: float) -> None:
+        """Play faults for `duration` seconds, then let everything recover."""
+        await self.fleet.start(self._instances)
+        callers = [asyncio.create_task(self._call(i)) for i in range(CALLERS)]
+        await self._play_faults(duration)
+        await asyncio.sleep(QUIET_END)
+        await self._check_recovery()
+        self._stopping = True
+        await asyncio.gather(*callers)
+        self.observer.check_end()
+        self.fleet.stop()
+
+    async def _call(self, number: int) -> None:
+        rng = random.Random(f"{number}/{self.random.random()}")
+        while not self._stopping:
+            await asyncio.sleep(rng.expovariate(1 / CALLER_PAUSE))
+            names = sorted(self.fleet.instances)
+            if not names:
+                continue
+            policy = rng.choice(list(ReadPolicy))
+            name = rng.choice(names)
+            session_id = f"session-{next(self._ids)}"
+            session = self.fleet.session(name, policy)
+            instance = self.fleet.instances[name]
+            try:
+                for _ in range(rng.randint(1, 6)):
+                    if self.fleet.instances.get(name) is not instance:
+                        break
+                    await self._operate(rng, session, session_id, policy)
+            finally:
+                await session.close()
+
+    async def _operate(
+        self,
+        rng: random.Random,
+        session: CallerSession,
+        session_id: str,
+        policy: ReadPolicy,
+    ) -> None:
+        kind = rng.random()
+        if kind < 0.4:
+            await self._read(session, session_id, policy)
+        elif kind < 0.7:
+            await self._write(session, session_id)
+        else:
+            await self._transact(rng, session, session_id, policy)
+        if session.state is not TransactionState.IDLE:
+            await session.execute(Rollback(""))
+
+    async def _read(self, session, session_id: str, policy: ReadPolicy) -> None:
+        first_byte = asyncio.get_running_loop().time()
+        reply = await session.execute(Run(self._next_id(), "READ", False))
+        self._count(reply)
+        if reply.refusal is None:
+            self.observer.check_read(reply, policy, session_id, first_byte)
+
+    async def _write(self, session, session_id: str) -> None:
+        request_id = self._next_id()
+        reply = await session.execute(Run(request_id, "WRITE", True))
+        self._count(reply)
+        now = asyncio.get_running_loop().time()
+        self.observer.note_write(reply, request_id, session_id, now)
+
+    async def _transact(self, rng, session, session_id: str, policy) -> None:
+        read_only = rng.random() < 0.4
+        first_byte = asyncio.get_running_loop().time()
+        await session.execute(Begin(self._next_id(), read_only))
+        written = None
+        for _ in range(rng.randint(1, 3)):
+            await asyncio.sleep(rng.random() * 0.05)
+            if not read_only and rng.random() < 0.5:
+                written = self._next_id()
+                reply = await session.execute(Run(written, "WRITE", True))
+            else:
+                reply = await session.execute(Run(self._next_id(), "READ", False))
+                if reply.refusal is None:
+                    self.observer.check_read(reply, policy, session_id, first_byte)
+            if reply.refusal is not None:
+                self._count(reply)
+                if written is not None:
+                    self.observer.promised_not_kept.add(written)
+                return
+        if rng.random() < 0.2:
+            return
+        reply = await session.execute(Commit(self._next_id()))
+        self._count(reply)
+        if written is not None:
+            now = asyncio.get_running_loop().time()
+            self.observer.note_write(reply, written, session_id, now)
+
+    def _next_id(self) -> str:
+        return f"request-{next(self._ids)}"
+
+    def _count(self, reply: CallerReply) -> None:
+        if reply.refusal is None:
+            self.observer.answered += 1
+        else:
+            self.observer.refused += 1
+
+    async def _check_recovery(self) -> None:
+        for name in sorted(self.fleet.instances):
+            session = self.fleet.session(name, ReadPolicy.PRIMARY)
+            reply = await session.execute(Run(self._next_id(), "WRITE", True))
+            if reply.refusal is not None:
+                self.observer.broken.append(
+                    f"{name} does not serve after the faults: {reply.message}"
+                )
+
+    async def _play_faults(self, duration: float) -> None:
+        loop = asyncio.get_running_loop()
+        end = loop.time() + duration
+        running: set[asyncio.Task] = set()
+        while loop.time() < end:
+            await asyncio.sleep(self.random.expovariate(1 / FAULT_PAUSE))
+            play = self.random.choice(_FAULTS)
+            length = self.random.uniform(*FAULT_LENGTHS)
+            self.faults.append(f"{loop.time() - 1000:.2f} {play.__name__} {length:.2f}")
+            task = asyncio.create_task(play(self, length))
+            running.add(task)
+        await asyncio.gather(*running)
+
+    async def kill_instances(self, length: float) -> None:
+        """Kill some or all instances, and start them again."""
+        names = sorted(self.fleet.instances)
+        count = self.random.choice([1, 1, 2, len(names)])
+        killed = self.random.sample(names, min(count, len(names)))
+        for name in killed:
+            self.fleet.kill(name)
+        await asyncio.sleep(length / 3)
+        for name in killed:
+            await self.fleet.start_instance(name)
+
+    async def kill_leader(self, length: float) -> None:
+        """Kill the instance that leads, and start it again."""
+        leader = self.fleet.leader()
+        if leader is None:
+            return
+        name = leader.board.member.name
+        self.fleet.kill(name)
+        await asyncio.sleep(length)
+        await self.fleet.start_instance(name)
+
+    async def cut_instance(self, length: float) -> None:
+        """Cut an instance off from the others, at times from the store too."""
+        name = self.random.choice(sorted(self.fleet.clients))
+        host = self.fleet.host(name)
+        self.fleet.network.isolate(host, self.fleet.hosts())
+        client = self.fleet.clients[name]
+        client.down = self.random.random() < 0.5
+        await asyncio.sleep(length)
+        self.fleet.network.heal()
+        client.down = False
+
+    async def cut_store(self, length: float) -> None:
+        """Refuse some or all instances at the store."""
+        names = sorted(self.fleet.clients)
+        count = self.random.randint(1, len(names))
+        for name in self.random.sample(names, count):
+            self.fleet.clients[name].down = True
+        self.fleet.heartbeats_stop = count == len(names)
+        await asyncio.sleep(length)
+        self.fleet.heartbeats_stop = False
+        for name in names:
+            self.fleet.clients[name].down = False
+
+    async def lose_store_answers(self, length: float) -> None:
+        """Make changes in the store without an answer."""
+        client = self.fleet.clients[self.random.choice(sorted(self.fleet.clients))]
+        client.lose_answers = True
+        await asyncio.sleep(length)
+        client.lose_answers = False
+
+    async def forget_history(self, length: float) -> None:
+        """Discard the store's history."""
+        self.fleet.store.forget_history()
+
+    async def crash_primary(self, length: float) -> None:
+        """Crash the primary; it comes back with its log."""
+        server = self.fleet.database.leading(SERVICE)
+        server.crash()
+        await asyncio.sleep(length)
+        server.alive = True
+        leading = self.fleet.database.leading(SERVICE)
+        if leading is not server:
+            server.is_primary = False
+
+    async def cut_primary(self, length: float) -> None:
+        """Cut the primary off from some instances, replicas, or everybody."""
+        server = self.fleet.database.leading(SERVICE)
+        others = [*sorted(self.fleet.clients), *sorted(self.fleet.database.servers)]
+        others.remove(server.upstream_id)
+        count = self.random.randint(1, len(others))
+        server.cut_from = set(self.random.sample(others, count))
+        await asyncio.sleep(length)
+        server.cut_from = set()
+
+    async def delay_replicas(self, length: float) -> None:
+        """Let replicas fall behind or receive nothing."""
+        for server in self.fleet.database.servers.values():
+            server.deaf = self.random.random() < 0.4
+            server.lag = self.random.choice([0.02, 0.5, 3.0])
+        await asyncio.sleep(length)
+        for server in self.fleet.database.servers.values():
+            server.deaf = False
+            server.lag = 0.02
+
+    async def lose_answers(self, length: float) -> None:
+        """Let a server run statements without an answer."""
+        server = self.random.choice(list(self.fleet.database.servers.values()))
+        server.lose_answer = True
+        await asyncio.sleep(length / 4)
+        server.lose_answer = False
+
+    async def lose_orders(self, length: float) -> None:
+        """Carry out orders to promote without an answer."""
+        self.fleet.database.lose_orders = True
+        await asyncio.sleep(length)
+        self.fleet.database.lose_orders = False
+
+    async def drain_primary(self, length: float) -> None:
+        """Announce that the primary leaves, and let it stay after all."""
+        server = self.fleet.database.leading(SERVICE)
+        self.fleet.draining.add(server.upstream_id)
+        await asyncio.sleep(length)
+        self.fleet.draining.discard(server.upstream_id)
+
+    async def change_configuration(self, length: float) -> None:
+        """Publish a configuration with other routes."""
+        version = self.fleet.store.revision + 10
+        extra = tuple(f"extra-{i}" for i in range(self.random.randint(0, 5)))
+        self.fleet.publish(make_catalog(version, extra))
+
+
+_FAULTS = [
+    World.kill_instances,
+    World.kill_leader,
+    World.cut_instance,
+    World.cut_store,
+    World.lose_store_answers,
+    World.forget_history,
+    World.crash_primary,
+    World.crash_primary,
+    World.cut_primary,
+    World.cut_primary,
+    World.delay_replicas,
+    World.lose_answers,
+    World.lose_orders,
+    World.drain_primary,
+    World.change_configuration,
+]
--- a/src/burdocksail/serving/_pools.py
+++ b/src/burdocksail/serving/_pools.py
@@ -104,7 +104,7 @@
         self.upstream = upstream
         self.statistics = ServerStatistics()
         self._failure = ""
-        self._unreachable = False
+        self._limited = False
         self._board = board
         self._connector = connector
         self._idle: list[PooledConnection] = []
@@ -147,9 +147,10 @@
         if done:
             return waiter.result()
         waiter.cancel()
-        raise NoConnection(
-            self._failure or "all connections are in use", self._unreachable
-        )
+        if not self._idle and not self._in_use:
+            # Nothing is open, and the connection being opened is overdue.
+            raise NoConnection(self._failure or "no answer", not self._limited)
+        raise NoConnection("all connections are in use")
 
     def release(self, connection: PooledConnection) -> None:
         """Take a connection back."""
@@ -224,7 +225,7 @@
             pause = LIMITED_PAUSE if limited else FAILED_PAUSE
             self._pause_until = board.now() + pause
             self._failure = str(error) or type(error).__name__
-            self._unreachable = not limited
+            self._limited = limited
             board.metrics.count("connections_failed")
             self._log.info(
                 "connection failed",
@@ -233,11 +234,11 @@
                 open=self.size,
             )
             if not self._in_use:
-                self._fail_waiters(self._failure, self._unreachable)
+                self._fail_waiters(self._failure, not limited)
             return
         self._opening -= 1
         self._failure = ""
-        self._unreachable = False
+        self._limited = False
         board.metrics.count("connections_opened")
         connection = PooledConnection(self.upstream, raw, idle_since=board.now())
         if self._closed:
--- a/src/burdocksail/serving/_statements.py
+++ b/src/burdocksail/serving/_statements.py
@@ -326,5 +326,5 @@
         if work.offered and work.time_left <= MIN_TIMEOUT:
             raise Failure(Refusal.TIMEOUT, work.last_problem)
         raise Failure(Refusal.BUSY, work.last_problem, retry_after=RETRY_AFTER)
-    if len(work.tried) != 1:
+    if work.tries > 1:
         await asyncio.sleep(BUSY_PAUSE)
