Ask by the store before claiming alone, and test authority, data path and platform

Cause: an instance cut off from all others but not from the store claimed the leadership after four seconds of silence; everybody followed the record and lost the evidence of the leader that still served (found by a test of the refusal's text, in memory). Change: such an instance writes a question into the store, which any instance that hears the leader removes; it claims only if the question stands. Ruled out: claiming by a majority of the registered instances, as any number may be gone for good.

--- a/Makefile
+++ b/Makefile
@@ -18,6 +18,7 @@
 
 test: $(STAMP)
 	CI=true $(RUN) -m unittest discover -s src -p "*_test.py" -t src
+	CI=true $(RUN) -m unittest discover -s platform -p "*_test.py" -t platform
 
 lint: $(STAMP)
 	$(VENV)/bin/ruff format --check .
--- a/src/burdocksail/agent/_instance.py
+++ b/src/burdocksail/agent/_instance.py
@@ -77,7 +77,11 @@
             self._report_malformed,
         )
         self._tracker = StoreTracker(
-            board, store, translator, lambda stored: self._authority.take_record(stored)
+            board,
+            store,
+            translator,
+            lambda stored: self._authority.take_record(stored),
+            lambda stored: self._authority.take_challenge(stored),
         )
         self._snapshots = SnapshotExchange(board, self._peers, self._tracker)
         self._authority = AuthorityController(
--- a/src/burdocksail/authority/_claims.py
+++ b/src/burdocksail/authority/_claims.py
@@ -1,6 +1,7 @@
 """Decides when this instance claims the leadership, and claims it."""
 
 import asyncio
+import contextlib
 from collections.abc import Callable
 
 import structlog
@@ -15,7 +16,13 @@
 )
 from burdocksail.board import Blackboard
 from burdocksail.catalog import UpstreamRole
-from burdocksail.fleet import AUTHORITY_NAME, LeaderQuery, LeaderReport, Peers
+from burdocksail.fleet import (
+    AUTHORITY_NAME,
+    CHALLENGE_PREFIX,
+    LeaderQuery,
+    LeaderReport,
+    Peers,
+)
 from burdocksail.ports import (
     Kind,
     ObjectStore,
@@ -27,7 +34,9 @@
 POLL_INTERVAL = 0.1  # seconds
 REPORT_WAIT = 0.2  # seconds; several round trips across regions
 RANK_DELAY = 0.15  # seconds between instances that would claim together
-LONELY_SILENCE = 4.0  # seconds of silence of everybody before claiming alone
+LONELY_SILENCE = 2.5  # seconds of silence of everybody before asking by the store
+CHALLENGE_WAIT = 1.5  # seconds for a leader to answer by the store
+CHALLENGE_PAUSE = 4.0  # seconds between questions
 
 ClaimTaken = Callable[[StoredObject, float], None]
 
@@ -58,6 +67,7 @@
         self._asked_over = False
         self._record_seen = False
         self._started_at = board.now()
+        self._challenged_at = float("-inf")
         self._log = structlog.get_logger()
 
     def handle_report(self, report: LeaderReport) -> None:
@@ -125,7 +135,42 @@
             return False
         if self._reports:
             return not any(self._reports.values())
-        return not others or silence > LONELY_SILENCE
+        if not others:
+            return True
+        return silence > LONELY_SILENCE and await self._is_challenge_unanswered()
+
+    async def answer_challenge(self, stored: StoredObject) -> None:
+        """Remove a challenge, as there is a leader."""
+        try:
+            await self._store.delete(Kind.FLEET, stored.name, stored.revision)
+        except (StoreUnavailable, StoreConflict) as error:
+            self._log.info("challenge not answered", reason=str(error))
+
+    async def _is_challenge_unanswered(self) -> bool:
+        """Ask by the store whether anybody hears a leader.
+
+        An instance that reaches nobody but the store cannot tell whether it is
+        cut off or left alone; whoever hears a leader removes its question.
+        """
+        now = self._board.now()
+        if now - self._challenged_at < CHALLENGE_PAUSE:
+            return False
+        self._challenged_at = now
+        name = f"{CHALLENGE_PREFIX}{self._board.member.name}"
+        spec = {"asked_by": self._board.member.incarnation}
+        try:
+            with contextlib.suppress(StoreConflict):
+                await self._store.create(Kind.FLEET, name, spec)
+            await asyncio.sleep(CHALLENGE_WAIT)
+            stored = await self._store.read(Kind.FLEET, name)
+            if stored is None:
+                self._log.info("challenge answered: there is a leader")
+                return False
+            await self._store.delete(Kind.FLEET, name, stored.revision)
+        except (StoreUnavailable, StoreConflict) as error:
+            self._log.info("challenge failed", reason=str(error))
+            return False
+        return True
 
     async def _claim(self) -> None:
         board = self._board
--- a/src/burdocksail/authority/_controller.py
+++ b/src/burdocksail/authority/_controller.py
@@ -85,6 +85,11 @@
             # The answer to this instance's own claim was lost.
             self._begin_leadership(stored, self._board.now())
 
+    def take_challenge(self, stored: StoredObject) -> None:
+        """Answer an instance that hears nobody and asks whether there is a leader."""
+        if self._follower.hears_leader():
+            self._spawn(self._claimant.answer_challenge(stored))
+
     async def follow(self) -> None:
         """Renew evidence for ever."""
         await self._follower.renew_evidence()
@@ -129,10 +134,11 @@
 
     def _finish(self, task: asyncio.Task) -> None:
         self._tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            self._log.error("task failed", error=repr(task.exception()))
-            if self._leadership is not None:
-                self._leadership.end("a task failed")
+        if task.cancelled() or task.exception() is None:
+            return
+        self._log.error("task failed", error=repr(task.exception()))
+        if self._leadership is not None:
+            self._leadership.end("a task failed")
 
     def _handle_renew(self, renewal: Renew, address: Address) -> None:
         self._snapshots.compare(
--- a/src/burdocksail/authority/_follower.py
+++ b/src/burdocksail/authority/_follower.py
@@ -79,11 +79,15 @@
     def answer_query(self, query: LeaderQuery, address: Address) -> None:
         """Tell a peer whether this instance hears from the leader."""
         board = self._board
-        last = board.authority.last_grant
-        hears = last is not None and board.now() - last < 2 * RENEW_INTERVAL
-        report = LeaderReport(board.member, board.authority.epoch, hears)
+        epoch = board.authority.epoch
+        report = LeaderReport(board.member, epoch, self.hears_leader())
         self._peers.send(address, report)
 
+    def hears_leader(self) -> bool:
+        """Return whether the last renewals were answered."""
+        last = self._board.authority.last_grant
+        return last is not None and self._board.now() - last < 2 * RENEW_INTERVAL
+
     def adopt_leader(self, epoch: int, leader: Member) -> None:
         """Follow a leadership with a higher epoch.
 
--- a/src/burdocksail/authority/_leadership.py
+++ b/src/burdocksail/authority/_leadership.py
@@ -23,6 +23,7 @@
 from burdocksail.core import BurdocksailError
 from burdocksail.fleet import (
     AUTHORITY_NAME,
+    INSTANCE_PREFIX,
     Grant,
     Peers,
     Renew,
@@ -181,11 +182,8 @@
                 await asyncio.sleep(RENEW_INTERVAL)
                 continue
             members = self._board.members.registered
-            for stored in listing.items:
-                if stored.name not in members and stored.name != AUTHORITY_NAME:
-                    self._log.info("instance listed", name=stored.name)
             self.grantees.listed = all(
-                stored.name in members or stored.name == AUTHORITY_NAME
+                stored.name in members or not stored.name.startswith(INSTANCE_PREFIX)
                 for stored in listing.items
             )
             if not self.grantees.listed:
@@ -202,6 +200,7 @@
             except (StoreUnavailable, LeadershipLost) as error:
                 self._log.warning("record not confirmed", reason=str(error))
             self._hand_over_if_needed()
+            await self._remove_silent()
             await asyncio.sleep(CONFIRM_INTERVAL)
 
     async def write_record(self) -> None:
@@ -306,6 +305,28 @@
             groups,
         )
 
+    async def _remove_silent(self) -> None:
+        """Remove the objects of instances that are gone."""
+        limit = self._board.now() - SILENT_REMOVAL
+        if self.over or self.started_at > limit:
+            return
+        heard = {a: g.heard_at for a, g in self.grantees.by_address.items()}
+        for name, member in list(self._board.members.registered.items()):
+            silent = heard.get(member.address, limit - 1) < limit
+            if silent and member != self._board.member:
+                await self._remove_instance(name)
+
+    async def _remove_instance(self, name: str) -> None:
+        try:
+            stored = await self._store.read(Kind.FLEET, name)
+            if stored is not None:
+                await self._store.delete(Kind.FLEET, name, stored.revision)
+        except (StoreUnavailable, StoreConflict) as error:
+            self._log.info("instance not removed", name=name, reason=str(error))
+            return
+        self._board.members.registered.pop(name, None)
+        self._log.info("silent instance removed", name=name)
+
     def _hand_over_if_needed(self) -> None:
         board = self._board
         if board.stop.requested:
--- a/src/burdocksail/fakes/__init__.py
+++ b/src/burdocksail/fakes/__init__.py
@@ -3,7 +3,12 @@
 from burdocksail.fakes._fleet import SERVICE, Fleet, make_catalog
 from burdocksail.fakes._servers import MemoryConnector, MemoryDatabase, MemoryServer
 from burdocksail.fakes._store import MemoryStore, MemoryStoreClient
-from burdocksail.fakes._virtual_loop import LoopTimer, VirtualLoop, run_virtually
+from burdocksail.fakes._virtual_loop import (
+    LoopTimer,
+    VirtualLoop,
+    run_virtually,
+    silence_logs,
+)
 
 __all__ = [
     "SERVICE",
@@ -17,4 +22,5 @@
     "VirtualLoop",
     "make_catalog",
     "run_virtually",
+    "silence_logs",
 ]
--- a/src/burdocksail/fakes/_virtual_loop.py
+++ b/src/burdocksail/fakes/_virtual_loop.py
@@ -5,10 +5,13 @@
 """
 
 import asyncio
+import logging
 import selectors
 from collections.abc import Coroutine
 from typing import Any, TypeVar
 
+import structlog
+
 T = TypeVar("T")
 
 
@@ -69,6 +72,12 @@
         return self._loop.time()
 
 
+def silence_logs() -> None:
+    """Write only what ends a test anyway."""
+    level = structlog.make_filtering_bound_logger(logging.CRITICAL)
+    structlog.configure(wrapper_class=level)
+
+
 def run_virtually(work: Coroutine[Any, Any, T]) -> T:
     """Run a coroutine to its end on a virtual loop."""
     loop = VirtualLoop()
--- a/src/burdocksail/fleet/__init__.py
+++ b/src/burdocksail/fleet/__init__.py
@@ -20,15 +20,18 @@
     TakeOver,
 )
 from burdocksail.fleet._peers import Address, DatagramPeers, Peers
+from burdocksail.fleet._registration import PREFIX as INSTANCE_PREFIX
 from burdocksail.fleet._registration import Registration, encode_member
 from burdocksail.fleet._snapshots import SnapshotExchange
-from burdocksail.fleet._tracking import AUTHORITY_NAME, StoreTracker
+from burdocksail.fleet._tracking import AUTHORITY_NAME, CHALLENGE_PREFIX, StoreTracker
 
 __all__ = [
     "AUTHORITY_NAME",
+    "CHALLENGE_PREFIX",
     "Address",
     "DatagramPeers",
     "Farewell",
+    "INSTANCE_PREFIX",
     "Grant",
     "LeaderQuery",
     "LeaderReport",
--- a/src/burdocksail/fleet/_snapshots.py
+++ b/src/burdocksail/fleet/_snapshots.py
@@ -1,6 +1,7 @@
 """Takes from peers what the store does not tell this instance."""
 
 import asyncio
+from dataclasses import dataclass
 
 import structlog
 
@@ -13,6 +14,15 @@
 BEHIND_PATIENCE = 0.5  # seconds for the store's own event to arrive first
 
 
+@dataclass(frozen=True, slots=True)
+class _Ahead:
+    """What a peer said that it knows, and since when that is more than here."""
+
+    version: int
+    revision: int
+    since: float
+
+
 class SnapshotExchange:
     """Serves this instance's snapshot, and fetches those of peers that know more."""
 
@@ -20,7 +30,7 @@
         self._board = board
         self._peers = peers
         self._tracker = tracker
-        self._newer: dict[Address, float] = {}
+        self._ahead: dict[Address, _Ahead] = {}
         self._log = structlog.get_logger()
 
     def take(self) -> Snapshot:
@@ -34,25 +44,32 @@
 
     def compare(self, address: Address, version: int, revision: int) -> None:
         """Note what a peer knows, to fetch it if that is more than known here."""
-        board = self._board
-        catalog = board.catalog.catalog
-        newer_catalog = version > (0 if catalog is None else catalog.version)
-        newer_directory = revision > board.directory.revision
-        if newer_catalog or (newer_directory and not board.store.works):
-            self._newer.setdefault(address, board.now())
+        known = self._ahead.get(address)
+        since = self._board.now() if known is None else known.since
+        ahead = _Ahead(version, revision, since)
+        if self._is_ahead(ahead):
+            self._ahead[address] = ahead
         else:
-            self._newer.pop(address, None)
+            self._ahead.pop(address, None)
 
     async def keep_up(self) -> None:
         """Fetch from peers that have been ahead for a moment, for ever."""
         while True:
             await asyncio.sleep(FETCH_INTERVAL)
             limit = self._board.now() - BEHIND_PATIENCE
-            ahead = [a for a, since in self._newer.items() if since <= limit]
-            for address in ahead[:1]:
-                del self._newer[address]
+            self._ahead = {a: s for a, s in self._ahead.items() if self._is_ahead(s)}
+            due = [a for a, s in self._ahead.items() if s.since <= limit]
+            for address in due[:1]:
+                del self._ahead[address]
                 await self._fetch(address)
 
+    def _is_ahead(self, ahead: _Ahead) -> bool:
+        board = self._board
+        catalog = board.catalog.catalog
+        if ahead.version > (0 if catalog is None else catalog.version):
+            return True
+        return ahead.revision > board.directory.revision and not board.store.works
+
     async def bootstrap(self) -> None:
         """Ask known peers until there is a configuration."""
         while self._board.catalog.catalog is None:
--- a/src/burdocksail/fleet/_tracking.py
+++ b/src/burdocksail/fleet/_tracking.py
@@ -20,6 +20,7 @@
 )
 
 AUTHORITY_NAME = "authority"
+CHALLENGE_PREFIX = "challenge."
 WATCH_WAIT = 4.0  # seconds; a watch that hangs is noticed after this
 RETRY_DELAYS = (0.1, 0.2, 0.4, 0.8)  # seconds, with as much jitter on top
 MISSING_GRACE = 2.5  # seconds; a living server's entry is back within about two
@@ -33,6 +34,8 @@
     ----------
     take_authority : callable
         Called with the authority's object whenever it was read.
+    take_challenge : callable
+        Called with an object by which an instance asks whether there is a leader.
     """
 
     def __init__(
@@ -41,11 +44,13 @@
         store: ObjectStore,
         translator: Translator,
         take_authority: Callable[[StoredObject], None],
+        take_challenge: Callable[[StoredObject], None],
     ):
         self._board = board
         self._store = store
         self._translator = translator
         self._take_authority = take_authority
+        self._take_challenge = take_challenge
         self._random = random.Random(board.member.incarnation)
         self._log = structlog.get_logger()
 
@@ -215,6 +220,8 @@
             if not removed:
                 self._take_authority(stored)
             return
+        if stored.name.startswith(CHALLENGE_PREFIX) and not removed:
+            self._take_challenge(stored)
         if not stored.name.startswith(PREFIX):
             return
         member = None if removed else decode_member(stored.spec)
--- /dev/null
+++ b/src/burdocksail/serving/serving_test.py
@@ -0,0 +1,282 @@
+"""The data path: sessions, floors, routing and exact outcomes."""
+
+import asyncio
+import unittest
+
+from burdocksail.board import Sample
+from burdocksail.catalog import ReadPolicy
+from burdocksail.core import (
+    Begin,
+    Commit,
+    Deallocate,
+    ExecutePrepared,
+    LogPosition,
+    Prepare,
+    Refusal,
+    Rollback,
+    Run,
+    SetValue,
+    TransactionState,
+)
+from burdocksail.fakes import (
+    SERVICE,
+    Fleet,
+    make_catalog,
+    run_virtually,
+    silence_logs,
+)
+from burdocksail.serving._freshness import SessionFloors, find_floor
+
+
+def setUpModule():
+    silence_logs()
+
+
+class ServingTest(unittest.TestCase):
+    def play(self, scenario, instances: int = 2) -> None:
+        async def run() -> None:
+            fleet = Fleet()
+            await fleet.start(instances)
+            try:
+                await scenario(fleet)
+            finally:
+                fleet.stop()
+
+        run_virtually(run())
+
+    def test_values_of_sessions_never_mix(self):
+        async def scenario(fleet: Fleet) -> None:
+            seen = []
+            for name in ("a", "b", "a"):
+                session = fleet.session("instance-0", ReadPolicy.PRIMARY)
+                if name == "a":
+                    await session.execute(SetValue("s", "v", "1"))
+                await session.execute(Run("r", "READ", False))
+                primary = fleet.database.servers["server-0"]
+                seen.append([dict(c.values) for c in primary.connections if c.values])
+                await session.close()
+            self.assertEqual(seen, [[{"v": "1"}], [], [{"v": "1"}]])
+
+        self.play(scenario, instances=1)
+
+    def test_prepared_names_of_sessions_never_collide(self):
+        async def scenario(fleet: Fleet) -> None:
+            first = fleet.session("instance-0", ReadPolicy.PRIMARY)
+            second = fleet.session("instance-0", ReadPolicy.PRIMARY)
+            await first.execute(Prepare("p", "s1", "insert", writes=True))
+            await second.execute(Prepare("p", "s1", "select", writes=False))
+            write = await first.execute(ExecutePrepared("w", "s1", "1 x"))
+            read = await second.execute(ExecutePrepared("r", "s1", "1"))
+            self.assertEqual(write.rows, ())
+            self.assertEqual(len(read.rows), 1)
+            log = fleet.database.servers["server-0"].log
+            self.assertEqual([entry.request_id for entry in log], ["w"])
+
+        self.play(scenario)
+
+    def test_forgotten_name_is_unknown(self):
+        async def scenario(fleet: Fleet) -> None:
+            session = fleet.session("instance-0", ReadPolicy.PRIMARY)
+            await session.execute(Prepare("p", "s1", "insert", writes=True))
+            await session.execute(Deallocate("d", "s1"))
+            reply = await session.execute(ExecutePrepared("w", "s1", "1 x"))
+            self.assertIs(reply.refusal, Refusal.UNKNOWN_STATEMENT)
+
+        self.play(scenario)
+
+    def test_reads_of_stated_age_go_to_the_nearest_replica(self):
+        async def scenario(fleet: Fleet) -> None:
+            await asyncio.sleep(1.0)
+            session = fleet.session("instance-1", ReadPolicy.STATED_AGE)
+            reply = await session.execute(Run("r", "READ", False))
+            read = fleet.database.reads[reply.rows[0]]
+            self.assertEqual(read.server, "server-1")
+
+        self.play(scenario)
+
+    def test_session_reads_its_write_though_replicas_lag(self):
+        async def scenario(fleet: Fleet) -> None:
+            for server in fleet.database.servers.values():
+                server.lag = 5.0
+            session = fleet.session("instance-1", ReadPolicy.OWN_WRITES)
+            await session.execute(Run("w", "WRITE", True))
+            reply = await session.execute(Run("r", "READ", False))
+            read = fleet.database.reads[reply.rows[0]]
+            self.assertIn(LogPosition(1, 1), read.positions)
+
+        self.play(scenario)
+
+    def test_read_goes_on_elsewhere_when_its_answer_is_lost(self):
+        async def scenario(fleet: Fleet) -> None:
+            await asyncio.sleep(1.0)
+            fleet.database.servers["server-1"].lose_answer = True
+            session = fleet.session("instance-1", ReadPolicy.STATED_AGE)
+            reply = await session.execute(Run("r", "READ", False))
+            self.assertIsNone(reply.refusal)
+
+        self.play(scenario)
+
+    def test_write_without_an_answer_is_told_as_unknown_and_runs_once(self):
+        async def scenario(fleet: Fleet) -> None:
+            primary = fleet.database.servers["server-0"]
+            primary.lose_answer = True
+            session = fleet.session("instance-1", ReadPolicy.PRIMARY)
+            reply = await session.execute(Run("w", "WRITE", True))
+            self.assertIs(reply.refusal, Refusal.UNKNOWN_OUTCOME)
+            self.assertEqual(len(primary.log), 1)
+
+        self.play(scenario)
+
+    def test_refused_write_names_a_time_to_come_back(self):
+        async def scenario(fleet: Fleet) -> None:
+            fleet.network.isolate(fleet.host("instance-1"), fleet.hosts())
+            await asyncio.sleep(5.0)
+            session = fleet.session("instance-1", ReadPolicy.PRIMARY)
+            loop = asyncio.get_running_loop()
+            started = loop.time()
+            reply = await session.execute(Run("w", "WRITE", True))
+            self.assertIs(reply.refusal, Refusal.BUSY)
+            self.assertIsNotNone(reply.retry_after)
+            self.assertLess(loop.time() - started, 0.25)
+
+        self.play(scenario, instances=3)
+
+    def test_group_that_never_opens_does_not_hold_the_processor(self):
+        """A statement was tried again without a pause, for ever."""
+
+        async def scenario(fleet: Fleet) -> None:
+            for server in fleet.database.servers.values():
+                server.is_primary = False
+            session = fleet.session("instance-1", ReadPolicy.PRIMARY)
+            await session.execute(Begin("b", read_only=False))
+            reply = await session.execute(Run("w", "WRITE", True))
+            self.assertIs(reply.refusal, Refusal.BUSY)
+
+        self.play(scenario)
+
+    def test_caller_that_leaves_rolls_back(self):
+        async def scenario(fleet: Fleet) -> None:
+            session = fleet.session("instance-1", ReadPolicy.PRIMARY)
+            await session.execute(Begin("b", read_only=False))
+            await session.execute(Run("w", "WRITE", True))
+            await session.close()
+            self.assertEqual(fleet.database.servers["server-0"].log, [])
+            self.assertEqual(fleet.instances["instance-1"].serving.open_transactions, 0)
+
+        self.play(scenario)
+
+    def test_failed_transaction_takes_nothing_but_its_end(self):
+        async def scenario(fleet: Fleet) -> None:
+            session = fleet.session("instance-1", ReadPolicy.PRIMARY)
+            await session.execute(Begin("b", read_only=False))
+            await session.execute(Run("w", "WRITE", True))
+            fleet.database.servers["server-0"].is_primary = False
+            reply = await session.execute(Run("x", "WRITE", True))
+            self.assertIs(reply.refusal, Refusal.ABORTED)
+            self.assertIs(reply.state, TransactionState.FAILED)
+            reply = await session.execute(Run("y", "WRITE", True))
+            self.assertIs(reply.refusal, Refusal.MALFORMED)
+            reply = await session.execute(Rollback("z"))
+            self.assertIs(reply.state, TransactionState.IDLE)
+
+        self.play(scenario)
+
+    def test_commit_without_an_answer_is_unknown_only_after_a_write(self):
+        async def scenario(fleet: Fleet) -> None:
+            await asyncio.sleep(1.0)
+            for writes, expected in (
+                (True, Refusal.UNKNOWN_OUTCOME),
+                (False, Refusal.ABORTED),
+            ):
+                primary = fleet.database.servers["server-0"]
+                session = fleet.session("instance-1", ReadPolicy.PRIMARY)
+                await session.execute(Begin("b", read_only=False))
+                await session.execute(Run("s", "TEXT", writes))
+                primary.lose_answer = True
+                reply = await session.execute(Commit("c"))
+                primary.lose_answer = False
+                self.assertIs(reply.refusal, expected)
+
+        self.play(scenario)
+
+    def test_dropped_route_is_refused_from_the_next_statement(self):
+        async def scenario(fleet: Fleet) -> None:
+            session = fleet.session("instance-1", ReadPolicy.PRIMARY)
+            catalog = make_catalog(9)
+            del catalog.routes[ReadPolicy.PRIMARY.value]
+            fleet.publish(catalog)
+            await asyncio.sleep(0.5)
+            reply = await session.execute(Run("w", "WRITE", True))
+            self.assertIs(reply.refusal, Refusal.UNKNOWN_DATABASE)
+            self.assertTrue(reply.ends_session)
+
+        self.play(scenario)
+
+    def test_older_configuration_never_comes_back(self):
+        async def scenario(fleet: Fleet) -> None:
+            fleet.publish(make_catalog(9))
+            await asyncio.sleep(0.5)
+            fleet.publish(make_catalog(3))
+            await asyncio.sleep(0.5)
+            for instance in fleet.instances.values():
+                self.assertEqual(instance.board.catalog.catalog.version, 9)
+
+        self.play(scenario)
+
+    def test_instance_without_the_store_takes_configuration_from_a_peer(self):
+        async def scenario(fleet: Fleet) -> None:
+            fleet.clients["instance-1"].down = True
+            await asyncio.sleep(1.0)
+            fleet.publish(make_catalog(9))
+            await asyncio.sleep(2.5)
+            board = fleet.instances["instance-1"].board
+            self.assertEqual(board.catalog.catalog.version, 9)
+
+        self.play(scenario)
+
+
+class FloorTest(unittest.TestCase):
+    """What a read has to cover, by policy and samples."""
+
+    def find(self, samples, policy=ReadPolicy.STATED_AGE, own=None, change=1):
+        async def run():
+            fleet = Fleet()
+            await fleet.start(1)
+            board = fleet.instances["instance-0"].board
+            kept = board.samples.of(SERVICE)
+            kept.clear()
+            kept.extend(samples)
+            floors = SessionFloors()
+            if own is not None:
+                floors.note_commit(SERVICE, own, change)
+            route = board.catalog.catalog.routes[policy.value]
+            floor = find_floor(board, route, floors, 100.0)
+            fleet.stop()
+            return floor
+
+        return run_virtually(run())
+
+    def test_oldest_sample_within_the_age_is_the_floor(self):
+        samples = [
+            Sample(98.4, LogPosition(1, 1), 1),
+            Sample(98.6, LogPosition(1, 2), 1),
+            Sample(99.9, LogPosition(1, 9), 1),
+        ]
+        self.assertEqual(self.find(samples).position, LogPosition(1, 2))
+
+    def test_no_sample_within_the_age_gives_no_floor(self):
+        self.assertIsNone(self.find([Sample(98.4, LogPosition(1, 1), 1)]))
+
+    def test_own_commit_raises_the_floor(self):
+        samples = [Sample(99.0, LogPosition(1, 2), 1)]
+        floor = self.find(samples, ReadPolicy.OWN_WRITES, LogPosition(1, 7))
+        self.assertEqual(floor.position, LogPosition(1, 7))
+
+    def test_commit_of_an_earlier_primary_does_not_block_for_ever(self):
+        samples = [Sample(99.0, LogPosition(2, 1), 1)]
+        floor = self.find(samples, ReadPolicy.OWN_WRITES, LogPosition(1, 900), 0)
+        self.assertEqual(floor.position, LogPosition(2, 1))
+
+
+if __name__ == "__main__":
+    unittest.main()
