Use a returned upstream again, and start nothing on a closed group

(2) soak: a connection that got ready after its group had closed started queued work. Change: a closed pool is replaced; dispatch asks for an open group; a broken invariant ends one action of the shell and is logged; the fakes remember what each promotion rolled back.

--- a/src/burdocksail/fakes/_servers.py
+++ b/src/burdocksail/fakes/_servers.py
@@ -109,6 +109,7 @@
         self.servers: dict[str, MemoryServer] = {}
         self.reads: dict[str, ReadRecord] = {}
         self.promotions: list[tuple[float, str, str, int]] = []
+        self.rolled_back: set[LogPosition] = set()
         self.fences: list[tuple[str, int]] = []
         self.lose_orders = False
         self._tokens = itertools.count()
@@ -118,10 +119,11 @@
         return [s for s in self.servers.values() if s.service == service]
 
     def leading(self, service: str) -> MemoryServer:
-        """Return the primary of the latest term, else the last one's heir."""
-        return max(
-            self.of_service(service), key=lambda s: (s.is_primary, s.term, s.position)
-        )
+        """Return the server that was promoted last, else the first primary."""
+        promoted = [p[2] for p in self.promotions if p[1] == service]
+        if promoted:
+            return self.servers[promoted[-1]]
+        return self.of_service(service)[0]
 
     async def replicate(self) -> None:
         """Carry logs to replicas for ever."""
@@ -167,6 +169,10 @@
     def _take_lead(self, server: MemoryServer) -> None:
         if server.is_primary and self.leading(server.service) is server:
             return
+        kept = {entry.position for entry in server.log}
+        for other in self.of_service(server.service):
+            lost = {entry.position for entry in other.log} - kept
+            self.rolled_back |= lost
         server.term = max(s.term for s in self.of_service(server.service)) + 1
         server.is_primary = True
         now = asyncio.get_running_loop().time()
--- a/src/burdocksail/node/_work.py
+++ b/src/burdocksail/node/_work.py
@@ -130,6 +130,8 @@
     group = board.configuration.groups.get(runtime.group)
     if group is None or not state.reachable:
         return
+    if runtime.phase is not Phase.OPEN:
+        return  # A connection can get ready after the group has closed.
     _connections.ensure_connections(board, runtime, state, group)
     while state.idle:
         work = _admission.take_next_work(board, runtime, state, group)
--- a/src/burdocksail/serving/_pools.py
+++ b/src/burdocksail/serving/_pools.py
@@ -122,6 +122,11 @@
         """Return the number of connections, those being opened included."""
         return len(self._idle) + len(self._in_use) + self._opening
 
+    @property
+    def is_closed(self) -> bool:
+        """Return whether the pool takes no new work."""
+        return self._closed
+
     @property
     def is_unused(self) -> bool:
         """Return whether nothing is in use and nobody waits."""
@@ -285,7 +290,8 @@
         pool = self._pools.get(upstream.id)
         if pool is not None and not _is_same(pool.upstream, upstream):
             pool.close()
-            pool = None
+        if pool is not None and pool.is_closed:
+            pool = None  # Its connections in use still end there.
         if pool is None:
             pool = Pool(self._board, self._connector, upstream)
             self._pools[upstream.id] = pool
--- a/src/burdocksail/serving/serving_test.py
+++ b/src/burdocksail/serving/serving_test.py
@@ -199,6 +199,24 @@
 
         self.play(scenario)
 
+    def test_upstream_that_was_gone_for_a_while_is_used_again(self):
+        """Its closed pool was kept while one of its connections was in use."""
+
+        async def scenario(fleet: Fleet) -> None:
+            await asyncio.sleep(1.0)
+            holder = fleet.session("instance-1", ReadPolicy.PRIMARY)
+            await holder.execute(Begin("b", read_only=False))
+            await holder.execute(Run("w", "WRITE", True))
+            directory = fleet.instances["instance-1"].board.directory
+            upstream = directory.upstreams.pop("server-0")
+            await asyncio.sleep(0.5)
+            directory.upstreams["server-0"] = upstream
+            session = fleet.session("instance-1", ReadPolicy.PRIMARY)
+            reply = await session.execute(Run("x", "WRITE", True))
+            self.assertIsNone(reply.refusal)
+
+        self.play(scenario)
+
     def test_dropped_route_is_refused_from_the_next_statement(self):
         async def scenario(fleet: Fleet) -> None:
             session = fleet.session("instance-1", ReadPolicy.PRIMARY)
--- a/src/burdocksail/shell/_process.py
+++ b/src/burdocksail/shell/_process.py
@@ -12,6 +12,7 @@
     CloseConnection,
     Effect,
     Event,
+    InvariantError,
     Node,
     NodeSettings,
     OpenConnection,
@@ -155,9 +156,20 @@
         await self._store.close()
 
     def handle_event(self, event: Event) -> None:
-        """Let the node handle an event and perform its effects."""
+        """Let the node handle an event and perform its effects.
+
+        A broken invariant ends that one action: the statement that it was for
+        is told as unknown at its deadline, and nothing is acknowledged.
+        """
         assert self.node is not None
-        self._perform_all(self.node.handle(event))
+        try:
+            effects = self.node.handle(event)
+        except InvariantError as error:
+            self._log.critical(
+                "invariant_broken", event_type=type(event).__name__, reason=str(error)
+            )
+            return
+        self._perform_all(effects)
 
     def is_ready(self) -> bool:
         """Return whether the balancer should send callers here."""
--- a/src/burdocksail/standin/scenarios_test.py
+++ b/src/burdocksail/standin/scenarios_test.py
@@ -5,7 +5,12 @@
 
 from burdocksail.core import Outcome, seconds
 from burdocksail.node import PutObject, StatementOptions
-from burdocksail.standin import FAULT_KINDS, World, WorldSettings
+from burdocksail.standin import (
+    FAULT_KINDS,
+    World,
+    WorldSettings,
+    run_random_world,
+)
 
 KINDS = {kind.name: kind for kind in FAULT_KINDS}
 GROUP = "booking"
@@ -269,5 +274,10 @@
         self.assertEqual(rows, [(1,)])
 
 
+class RegressionTest(unittest.TestCase):
+    def test_connection_that_gets_ready_after_the_group_closed_starts_nothing(self):
+        run_random_world(771196, 60)
+
+
 if __name__ == "__main__":
     unittest.main()
