Promote nobody on the word of a few instances

Change: a leader that hears from less than half of the registered instances waits 6 s for its suspicion; a suspicion counts only while its kind stays. Test: test_leader_cut_off_with_the_store_promotes_nobody, failing before.

--- a/src/burdocksail/authority/_watchdog.py
+++ b/src/burdocksail/authority/_watchdog.py
@@ -1,6 +1,7 @@
 """Decides, while this instance leads, which groups need another primary."""
 
 import asyncio
+from dataclasses import dataclass
 from enum import Enum
 
 import structlog
@@ -33,12 +34,21 @@
 # waits for that while the primary still serves.
 LEAVING_PATIENCE = 3.0  # seconds; a leaving server serves for several more
 
+MINORITY_PATIENCE = 6.0  # seconds; longer than most cuts
 MISSING_SHARE = 0.5  # of the instances
 MISSING_PATIENCE = 3.0  # seconds; a server that is gone gets no work for longer
 
 PLANNED = frozenset({Need.LEAVING, Need.PARTLY_UNREACHABLE})
 
 
+@dataclass(frozen=True, slots=True)
+class Suspicion:
+    """A need that may pass, and since when it has been seen."""
+
+    need: Need
+    since: float
+
+
 class Watchdog:
     """Starts changes of primary, one at a time in each group."""
 
@@ -54,7 +64,7 @@
         self._connector = connector
         self._promoter = promoter
         self._running: dict[str, asyncio.Task] = {}
-        self._since: dict[tuple[str, Need], float] = {}
+        self._suspected: dict[str, Suspicion] = {}
         self._log = structlog.get_logger()
 
     async def run(self) -> None:
@@ -147,21 +157,31 @@
         A server that cannot reach the store may still serve most instances.
         """
         if self._find_unreachable_share(view) > MISSING_SHARE:
-            return Need.GONE
+            return self._after(view, Need.GONE, self._find_patience())
         return self._after(view, Need.GONE, MISSING_PATIENCE)
 
     def _judge_reachability(self, view: GroupView) -> Need:
         share = self._find_unreachable_share(view)
         if share == 1.0:
-            return self._after(view, Need.UNREACHABLE, UNREACHABLE_PATIENCE)
-        self._since.pop((view.service_name, Need.UNREACHABLE), None)
+            return self._after(view, Need.UNREACHABLE, self._find_patience())
         if share >= PARTLY_SHARE:
             if not self._leadership.is_settled:
                 return Need.NONE
             return self._after(view, Need.PARTLY_UNREACHABLE, PARTLY_PATIENCE)
-        self._since.pop((view.service_name, Need.PARTLY_UNREACHABLE), None)
+        self._suspected.pop(view.service_name, None)
         return Need.NONE
 
+    def _find_patience(self) -> float:
+        """Return how long all that report have to miss a primary.
+
+        A leader that hears from few may be cut off itself, with the primary
+        and the others on the other side.
+        """
+        now = self._board.now()
+        reporting = 1 + len(self._leadership.grantees.fresh(now))
+        known = max(1, len(self._board.members.registered))
+        return UNREACHABLE_PATIENCE if 2 * reporting > known else MINORITY_PATIENCE
+
     def _find_unreachable_share(self, view: GroupView) -> float:
         reports = [
             view.service_name in g.renewal.unreachable
@@ -176,11 +196,15 @@
         return self._after(view, need, LEAVING_PATIENCE)
 
     def _after(self, view: GroupView, need: Need, patience: float) -> Need:
+        """Return `need` once it has been the same for `patience` seconds."""
         now = self._board.now()
-        since = self._since.setdefault((view.service_name, need), now)
-        if now - since < patience:
+        suspicion = self._suspected.get(view.service_name)
+        if suspicion is None or suspicion.need is not need:
+            suspicion = Suspicion(need, now)
+            self._suspected[view.service_name] = suspicion
+        if now - suspicion.since < patience:
             return Need.NONE
-        self._since.pop((view.service_name, need), None)
+        del self._suspected[view.service_name]
         return need
 
     def _has_successor(self, view: GroupView) -> bool:
--- a/src/burdocksail/authority/authority_test.py
+++ b/src/burdocksail/authority/authority_test.py
@@ -259,6 +259,27 @@
 
         self.play(scenario)
 
+    def test_leader_cut_off_with_the_store_promotes_nobody(self):
+        """Incident: it alone missed the primary, which the others still reached."""
+
+        async def scenario(fleet: Fleet) -> None:
+            await asyncio.sleep(1.0)
+            name = fleet.leader().board.member.name
+            fleet.network.isolate(fleet.host(name), fleet.hosts())
+            fleet.database.servers["server-0"].cut_from = {name, "server-1", "server-2"}
+            for other, client in fleet.clients.items():
+                client.down = other != name
+            await asyncio.sleep(5.0)
+            self.assertEqual(fleet.database.promotions, [])
+            fleet.network.heal()
+            fleet.database.servers["server-0"].cut_from = set()
+            for client in fleet.clients.values():
+                client.down = False
+            await asyncio.sleep(6.0)
+            self.assertEqual(fleet.database.promotions, [])
+
+        self.play(scenario)
+
     def test_full_servers_are_not_taken_for_lost(self):
         async def scenario(fleet: Fleet) -> None:
             primary = fleet.database.servers["server-0"]
