Wait longer in watches and probe less in large fleets

Change: watches wait 12 s; what a hanging one misses, peers tell within a second, for upstreams too; the fleet probes a primary 40 times a second at most.

--- a/src/burdocksail/board/_fleet.py
+++ b/src/burdocksail/board/_fleet.py
@@ -44,8 +44,8 @@
     Attributes
     ----------
     revision : int
-        Revision of the store up to which changes are known; 0 before the first
-        list.
+        Revision of the store at the last change that is known; 0 before the
+        first list.
     missing_since : dict of str to float
         Entries that the store has dropped, and when this was seen. They stay in
         use for a moment, as an entry may lapse while its server lives.
--- a/src/burdocksail/fakes/_store.py
+++ b/src/burdocksail/fakes/_store.py
@@ -77,10 +77,13 @@
         Whether calls are refused.
     lose_answers : bool
         Whether changes are made without an answer.
+    hangs : bool
+        Whether watches say nothing until their time is over.
     """
 
     store: MemoryStore
     down: bool = False
+    hangs: bool = False
     lose_answers: bool = False
     delay: float = ANSWER_DELAY
 
@@ -96,6 +99,9 @@
         loop = asyncio.get_running_loop()
         end = loop.time() + wait
         while True:
+            if self.hangs:
+                await asyncio.sleep(wait)
+                raise StoreUnavailable("no answer in time")
             if revision + 1 < self.store.first_known:
                 raise HistoryLost("discarded")
             events = tuple(
--- a/src/burdocksail/fleet/_snapshots.py
+++ b/src/burdocksail/fleet/_snapshots.py
@@ -11,7 +11,7 @@
 from burdocksail.fleet._tracking import StoreTracker
 
 FETCH_INTERVAL = 0.5  # seconds between fetches
-BEHIND_PATIENCE = 0.5  # seconds for the store's own event to arrive first
+BEHIND_PATIENCE = 0.8  # seconds for the store's own event to arrive first
 
 
 @dataclass(frozen=True, slots=True)
@@ -68,7 +68,7 @@
         catalog = board.catalog.catalog
         if ahead.version > (0 if catalog is None else catalog.version):
             return True
-        return ahead.revision > board.directory.revision and not board.store.works
+        return ahead.revision > board.directory.revision
 
     async def bootstrap(self) -> None:
         """Ask known peers until there is a configuration."""
--- a/src/burdocksail/fleet/_tracking.py
+++ b/src/burdocksail/fleet/_tracking.py
@@ -21,7 +21,9 @@
 
 AUTHORITY_NAME = "authority"
 CHALLENGE_PREFIX = "challenge."
-WATCH_WAIT = 4.0  # seconds; a watch that hangs is noticed after this
+# Every watch is a priced call. One that hangs is noticed after this; until then
+# peers tell of what has changed.
+WATCH_WAIT = 12.0  # seconds
 RETRY_DELAYS = (0.1, 0.2, 0.4, 0.8)  # seconds, with as much jitter on top
 MISSING_GRACE = 2.5  # seconds; a living server's entry is back within about two
 SWEEP_INTERVAL = 0.25  # seconds
@@ -100,7 +102,7 @@
                     for event in events.events:
                         apply(event.object, removed=event.removed)
                     revision = max(revision, events.revision)
-                    if kind is Kind.UPSTREAMS:
+                    if kind is Kind.UPSTREAMS and events.events:
                         self._note_directory_revision(revision)
             except HistoryLost:
                 self._log.info("history lost", kind=kind.value, revision=revision)
--- a/src/burdocksail/serving/_freshness.py
+++ b/src/burdocksail/serving/_freshness.py
@@ -13,6 +13,7 @@
 from burdocksail.serving._pools import NoConnection, Pools
 
 SAMPLE_INTERVAL = 0.4  # seconds; several within the shortest usual age
+PROBES_PER_SECOND = 40  # of one primary by the whole fleet; a few percent of a core
 PROBE_TIMEOUT = 0.4  # seconds; an order of magnitude above a round trip
 PROBE_PRIORITY = -1  # a probe takes no slot and is over in a round trip
 POLL_INTERVAL = 0.1  # seconds
@@ -138,7 +139,8 @@
         if view.service_name in self._board.authority.unreachable:
             return True
         samples = self._board.samples.of(view.service_name)
-        return not samples or now - samples[-1].asked_at >= SAMPLE_INTERVAL
+        interval = max(SAMPLE_INTERVAL, self._board.members.alive / PROBES_PER_SECOND)
+        return not samples or now - samples[-1].asked_at >= interval
 
     def _start(self, view: GroupView) -> None:
         task = asyncio.create_task(self._sample(view))
--- a/src/burdocksail/serving/serving_test.py
+++ b/src/burdocksail/serving/serving_test.py
@@ -4,7 +4,7 @@
 import unittest
 
 from burdocksail.board import Sample
-from burdocksail.catalog import ReadPolicy
+from burdocksail.catalog import ReadPolicy, UpstreamState
 from burdocksail.core import (
     Begin,
     Commit,
@@ -252,6 +252,21 @@
 
         self.play(scenario)
 
+    def test_instance_whose_watches_hang_learns_from_peers(self):
+        async def scenario(fleet: Fleet) -> None:
+            await asyncio.sleep(1.0)
+            fleet.clients["instance-1"].hangs = True
+            await asyncio.sleep(0.1)
+            fleet.publish(make_catalog(9))
+            fleet.draining.add("server-2")
+            await asyncio.sleep(2.5)
+            board = fleet.instances["instance-1"].board
+            self.assertEqual(board.catalog.catalog.version, 9)
+            state = board.directory.upstreams["server-2"].state
+            self.assertIs(state, UpstreamState.DRAINING)
+
+        self.play(scenario)
+
 
 class FloorTest(unittest.TestCase):
     """What a read has to cover, by policy and samples."""
