Begin no change of primary that cannot end soon

Ten milliseconds before the cut's end was noticed a change began, closed the group for all, and waited 2.2 s for grants of the earlier leader. Ruled out: a shorter wait for those grants, as half is no majority. Change: only a primary that is leaving, or an unfinished change, is taken up while grants of an earlier leader may run; a missing entry of a primary that most reach again is a suspicion of its own with its own patience. Test: test_half_of_the_fleet_with_the_store_waits, failing before.

--- a/src/burdocksail/authority/_watchdog.py
+++ b/src/burdocksail/authority/_watchdog.py
@@ -25,6 +25,7 @@
     NONE = "none"
     LEAVING = "the primary is leaving"
     GONE = "the primary's entry is gone"
+    MISSING = "the primary's entry is gone, though most instances reach it"
     UNREACHABLE = "no instance reaches the primary"
     PARTLY_UNREACHABLE = "many instances do not reach the primary"
     UNFINISHED = "a change was not finished"
@@ -111,11 +112,22 @@
         if service in self._running:
             return
         need = self._judge(service)
-        if need is Need.NONE:
+        if need is Need.NONE or not self._may_begin(need):
             return
+        self._suspected.pop(service, None)
         task = asyncio.create_task(self._change(service, need))
         self._start(service, task)
 
+    def _may_begin(self, need: Need) -> bool:
+        """Return whether a change can come to its end soon.
+
+        While somebody may hold evidence of an earlier leader, no promotion can
+        be ordered, and the old primary may still come back. A server that is
+        leaving does not wait for that.
+        """
+        urgent = need in (Need.UNFINISHED, Need.LEAVING)
+        return urgent or self._leadership.is_settled
+
     def _start(self, service: str, task: asyncio.Task) -> None:
         self._running[service] = task
         task.add_done_callback(lambda _: self._running.pop(service, None))
@@ -158,15 +170,13 @@
         """
         if self._find_unreachable_share(view) > MISSING_SHARE:
             return self._after(view, Need.GONE, self._find_patience())
-        return self._after(view, Need.GONE, MISSING_PATIENCE)
+        return self._after(view, Need.MISSING, MISSING_PATIENCE)
 
     def _judge_reachability(self, view: GroupView) -> Need:
         share = self._find_unreachable_share(view)
         if share == 1.0:
             return self._after(view, Need.UNREACHABLE, self._find_patience())
         if share >= PARTLY_SHARE:
-            if not self._leadership.is_settled:
-                return Need.NONE
             return self._after(view, Need.PARTLY_UNREACHABLE, PARTLY_PATIENCE)
         self._suspected.pop(view.service_name, None)
         return Need.NONE
@@ -202,10 +212,7 @@
         if suspicion is None or suspicion.need is not need:
             suspicion = Suspicion(need, now)
             self._suspected[view.service_name] = suspicion
-        if now - suspicion.since < patience:
-            return Need.NONE
-        del self._suspected[view.service_name]
-        return need
+        return Need.NONE if now - suspicion.since < patience else need
 
     def _has_successor(self, view: GroupView) -> bool:
         return any(
--- a/src/burdocksail/authority/authority_test.py
+++ b/src/burdocksail/authority/authority_test.py
@@ -280,6 +280,33 @@
 
         self.play(scenario)
 
+    def test_half_of_the_fleet_with_the_store_waits_for_the_other_half(self):
+        """It closed the group when the cut healed, for a change that came too late."""
+
+        async def scenario(fleet: Fleet) -> None:
+            await fleet.start_instance("instance-3")
+            await asyncio.sleep(2.0)
+            here = ["instance-2", "instance-3"]
+            for name in here:
+                others = [fleet.host(n) for n in ("instance-0", "instance-1")]
+                fleet.network.isolate(fleet.host(name), others)
+            primary = fleet.database.servers["server-0"]
+            primary.cut_from = {*here, "server-1", "server-2"}
+            for name in ("instance-0", "instance-1"):
+                fleet.clients[name].down = True
+            fleet.silent.add("server-0")
+            await asyncio.sleep(9.0)
+            fleet.network.heal()
+            primary.cut_from = set()
+            for client in fleet.clients.values():
+                client.down = False
+            await asyncio.sleep(1.0)
+            fleet.silent.clear()
+            await asyncio.sleep(8.0)
+            self.assertEqual(fleet.database.promotions, [])
+
+        self.play(scenario)
+
     def test_full_servers_are_not_taken_for_lost(self):
         async def scenario(fleet: Fleet) -> None:
             primary = fleet.database.servers["server-0"]
--- a/src/burdocksail/fakes/_fleet.py
+++ b/src/burdocksail/fakes/_fleet.py
@@ -82,6 +82,7 @@
     _incarnations: itertools.count = field(default_factory=itertools.count)
     _heard: dict[str, float] = field(default_factory=dict)
     heartbeats_stop: bool = False
+    silent: set[str] = field(default_factory=set)
 
     async def start(self, instances: int = 3, servers: int = 3) -> None:
         """Start servers, then instances, and wait until all are ready."""
@@ -178,7 +179,7 @@
     def _beat(self) -> None:
         now = asyncio.get_running_loop().time()
         for server in self.database.servers.values():
-            if server.alive and "*" not in server.cut_from and not self.heartbeats_stop:
+            if self._may_beat(server):
                 self._heard[server.upstream_id] = now
                 self.store.put(
                     Kind.UPSTREAMS,
@@ -188,6 +189,11 @@
             elif now - self._heard.get(server.upstream_id, 0.0) > LAPSE:
                 self.store.remove(Kind.UPSTREAMS, server.upstream_id)
 
+    def _may_beat(self, server: MemoryServer) -> bool:
+        if self.heartbeats_stop or server.upstream_id in self.silent:
+            return False
+        return server.alive and "*" not in server.cut_from
+
     def _describe(self, server: MemoryServer) -> Upstream:
         leaving = server.upstream_id in self.draining
         return Upstream(
