Bind a transaction to one record of its connection, and ask enough replicas

A service whose commits wait for replicas was promoted from any replica that answered. Change: a Binding; names without underscores for what two modules share; with synchronous replicas a promotion asks all but as many as may lack a commit; a COMMIT of an empty transaction is answered by a server.

--- a/src/burdocksail/authority/_change.py
+++ b/src/burdocksail/authority/_change.py
@@ -182,17 +182,36 @@
                     if incumbent == self._old.primary_id
                     else _only(states, incumbent)
                 )
+            overdue = self._board.now() >= end
             replicas = [s for s in states if not self._is_leaving(s.upstream)]
             if not replicas:
                 raise ChangeFailed("no server answers")
             best = max(replicas, key=_rank)
             received = best.status.received
-            settled = received == previous if wanted is None else received >= wanted
-            if settled or self._board.now() >= end:
+            if wanted is not None:
+                settled = received >= wanted
+            elif len(states) < self._count_answers_needed(len(candidates)):
+                if overdue:
+                    raise ChangeFailed("too few replicas answer")
+                settled = False
+            else:
+                settled = received == previous
+            if settled or overdue:
                 return best
             previous = received
             await asyncio.sleep(SETTLE_INTERVAL)
 
+    def _count_answers_needed(self, candidates: int) -> int:
+        """Return how many replicas have to answer to find every acknowledged commit.
+
+        A commit that waits for some replicas is on these, whichever they are, so
+        all but as many as may lack it have to be asked.
+        """
+        catalog = self._board.catalog.catalog
+        service = None if catalog is None else catalog.services.get(self._service)
+        waits_for = 0 if service is None else service.sync_replicas
+        return 1 if waits_for == 0 else max(1, candidates - waits_for + 1)
+
     def _find_incumbent(self, states: list[Inspected], asked: int) -> str | None:
         """Return a primary that an earlier leader has already made.
 
--- a/src/burdocksail/authority/authority_test.py
+++ b/src/burdocksail/authority/authority_test.py
@@ -19,9 +19,15 @@
     encode_record,
 )
 from burdocksail.board import GroupState, Member
-from burdocksail.catalog import ReadPolicy
+from burdocksail.catalog import ReadPolicy, Service
 from burdocksail.core import Begin, Commit, Refusal, Run, TransactionState
-from burdocksail.fakes import SERVICE, Fleet, run_virtually, silence_logs
+from burdocksail.fakes import (
+    SERVICE,
+    Fleet,
+    make_catalog,
+    run_virtually,
+    silence_logs,
+)
 from burdocksail.fleet import Renew
 
 
@@ -307,6 +313,25 @@
 
         self.play(scenario)
 
+    def test_commits_that_waited_for_a_replica_survive(self):
+        async def scenario(fleet: Fleet) -> None:
+            catalog = make_catalog(9)
+            catalog.services[SERVICE] = Service(SERVICE, 60, sync_replicas=1)
+            fleet.publish(catalog)
+            servers = fleet.database.servers
+            servers["server-1"].deaf = True
+            await self.time_until_written(fleet, "instance-1")
+            await asyncio.sleep(0.5)
+            servers["server-2"].cut_from = {"*"}
+            servers["server-0"].crash()
+            await asyncio.sleep(2.0)
+            self.assertEqual(fleet.database.promotions, [])
+            servers["server-2"].cut_from = set()
+            await self.time_until_written(fleet, "instance-1")
+            self.assertEqual(fleet.database.promotions[0][2], "server-2")
+
+        self.play(scenario)
+
     def test_full_servers_are_not_taken_for_lost(self):
         async def scenario(fleet: Fleet) -> None:
             primary = fleet.database.servers["server-0"]
--- a/src/burdocksail/core/_commands.py
+++ b/src/burdocksail/core/_commands.py
@@ -111,8 +111,6 @@
 
     BUSY = "busy"
     ABORTED = "aborted"
-    READ_ONLY = "read_only"
-    LAGGING = "lagging"
 
     UNKNOWN_OUTCOME = "unknown_outcome"
     TIMEOUT = "timeout"
--- a/src/burdocksail/fakes/_servers.py
+++ b/src/burdocksail/fakes/_servers.py
@@ -228,7 +228,7 @@
         if self._server.lose_answer and not isinstance(commands[-1], ResetSession):
             await asyncio.sleep(timeout)
             self.close()
-            raise UpstreamLost("no answer in time", [], timed_out=True)
+            raise UpstreamLost("no answer in time", [])
         await self._travel(timeout)
         return replies
 
@@ -252,7 +252,7 @@
         if not self._server.is_reachable_from(self._caller):
             await asyncio.sleep(timeout)
             self.close()
-            raise UpstreamLost("no answer in time", [], timed_out=True)
+            raise UpstreamLost("no answer in time", [])
 
     def _apply(self, command: UpstreamCommand, floor: LogPosition | None) -> Reply:
         server = self._server
--- a/src/burdocksail/fakes/_world.py
+++ b/src/burdocksail/fakes/_world.py
@@ -22,9 +22,7 @@
 from burdocksail.fakes._fleet import MAX_AGE, SERVICE, Fleet, make_catalog
 from burdocksail.serving import CallerReply, CallerSession
 
-PROMISES = frozenset(
-    {Refusal.BUSY, Refusal.ABORTED, Refusal.READ_ONLY, Refusal.LAGGING}
-)
+PROMISES = frozenset({Refusal.BUSY, Refusal.ABORTED})
 CALLERS = 6
 CALLER_PAUSE = 0.25  # seconds between operations of a caller
 FAULT_PAUSE = 1.5  # seconds between faults, on average
--- a/src/burdocksail/ports/_errors.py
+++ b/src/burdocksail/ports/_errors.py
@@ -26,14 +26,11 @@
     ----------
     replies : list of Reply
         Replies to the commands that were answered before.
-    timed_out : bool
-        Whether the time ran out, as opposed to a connection that broke.
     """
 
-    def __init__(self, message: str, replies: list, timed_out: bool = False):
+    def __init__(self, message: str, replies: list):
         super().__init__(message)
         self.replies = replies
-        self.timed_out = timed_out
 
 
 class StoreUnavailable(PortError):
--- a/src/burdocksail/serving/_exchange.py
+++ b/src/burdocksail/serving/_exchange.py
@@ -55,8 +55,6 @@
         connection.close()
         raise UpstreamLost("the session could not be set up", replies[:-1])
     statistics.note_latency(board.now() - started)
-    if reply.position is not None:
-        statistics.position = reply.position
     if reply.status is Status.UNKNOWN_STATEMENT:
         connection.prepared.clear()
     return reply
--- a/src/burdocksail/serving/_pools.py
+++ b/src/burdocksail/serving/_pools.py
@@ -9,7 +9,7 @@
 
 from burdocksail.board import Blackboard
 from burdocksail.catalog import Upstream
-from burdocksail.core import BurdocksailError, LogPosition, SetValue
+from burdocksail.core import BurdocksailError
 from burdocksail.ports import (
     ConnectionRefused,
     Connector,
@@ -77,10 +77,6 @@
         self.values.clear()
         self.prepared.clear()
 
-    def note_value(self, command: SetValue) -> None:
-        """Note that a value has been set."""
-        self.values[command.name] = command.value
-
 
 @dataclass(slots=True)
 class ServerStatistics:
@@ -88,7 +84,6 @@
 
     latency: float = 0.03  # seconds; before the first answer
     in_flight: int = 0
-    position: LogPosition | None = None
     avoid_until: float = float("-inf")
     lagging_until: float = float("-inf")
 
--- a/src/burdocksail/serving/_statements.py
+++ b/src/burdocksail/serving/_statements.py
@@ -5,7 +5,7 @@
 
 from burdocksail.board import Blackboard, GroupState, GroupView
 from burdocksail.catalog import Route
-from burdocksail.core import ExecutePrepared, Refusal, Run
+from burdocksail.core import Commit, ExecutePrepared, Refusal, Run
 from burdocksail.ports import Reply, Status, UpstreamLost
 from burdocksail.serving._context import Serving, SessionValues
 from burdocksail.serving._exchange import exchange
@@ -35,7 +35,7 @@
     serving: Serving
     route: Route
     values: SessionValues
-    command: Run | ExecutePrepared
+    command: Run | ExecutePrepared | Commit
     arrived_at: float = 0.0
     tries: int = 0
     offered: bool = False
@@ -70,11 +70,11 @@
 async def run_read(work: Work, writes: bool = False) -> Reply:
     """Run a read at the best server that covers its floor."""
     while True:
-        pool = await _choose_server(work)
+        pool = await choose_server(work)
         reply = await _try_read(work, pool)
         if reply is not None:
             return reply
-        await _pause_before_retry(work)
+        await pause_before_retry(work)
 
 
 async def run_write(work: Work, writes: bool = True) -> Reply:
@@ -84,7 +84,7 @@
         reply = await _try_at_primary(work, view, pool, writes)
         if reply is not None:
             return reply
-        await _pause_before_retry(work)
+        await pause_before_retry(work)
 
 
 async def find_primary(work: Work) -> tuple[GroupView, Pool]:
@@ -129,7 +129,8 @@
     return soon, "this instance has no evidence of who is primary"
 
 
-async def _choose_server(work: Work) -> Pool:
+async def choose_server(work: Work) -> Pool:
+    """Wait for a server that may run a read and has not been tried."""
     board = work.board
     while True:
         floor = find_floor(board, work.route, work.values.floors, work.arrived_at)
@@ -158,7 +159,7 @@
             work.route.priority, work.offer_until - board.now()
         )
     except NoConnection as error:
-        _note_problem(work, pool, "no connection", str(error), AVOID_BUSY)
+        note_problem(work, pool, "no connection", str(error), AVOID_BUSY)
         return None
     # The floor is found again: waiting may have made older samples unusable.
     floor = find_floor(board, work.route, work.values.floors, work.arrived_at)
@@ -181,13 +182,13 @@
             None if floor is None else floor.position,
         )
     except UpstreamLost as error:
-        _note_problem(work, pool, "server lost", str(error), AVOID_BROKEN)
+        note_problem(work, pool, "server lost", str(error), AVOID_BROKEN)
         if work.time_left <= MIN_TIMEOUT:
             raise Failure(Refusal.TIMEOUT, "no answer in time") from error
         return None
     finally:
         pool.release(connection)
-    if is_primary:
+    if view is not None and is_primary:
         note_position(board, view, asked_at, reply.position)
     return _judge_read(work, pool, reply)
 
@@ -214,7 +215,7 @@
         return reply
     if reply.status is Status.LAGGING:
         pool.statistics.lagging_until = work.board.now() + AVOID_LAGGING
-    _note_problem(work, pool, reply.status.value, reply.message, AVOID_BUSY)
+    note_problem(work, pool, reply.status.value, reply.message, AVOID_BUSY)
     if reply.status is Status.MALFORMED:
         raise Failure(Refusal.MALFORMED, reply.message)
     if reply.status is Status.TIMEOUT or work.time_left <= MIN_TIMEOUT:
@@ -235,7 +236,7 @@
     try:
         connection = await pool.acquire(work.route.priority, wait)
     except NoConnection as error:
-        _note_problem(work, pool, "no connection", str(error), AVOID_BUSY)
+        note_problem(work, pool, "no connection", str(error), AVOID_BUSY)
         return None
     if board.authority.may_start(service, board.now()) != view:
         pool.release(connection)
@@ -254,7 +255,7 @@
             max(MIN_TIMEOUT, work.time_left),
         )
     except UpstreamLost as error:
-        _note_problem(work, pool, "server lost", str(error), AVOID_BROKEN)
+        note_problem(work, pool, "server lost", str(error), AVOID_BROKEN)
         if writes:
             raise Failure(Refusal.UNKNOWN_OUTCOME, "no answer to a write") from error
         if work.time_left <= MIN_TIMEOUT:
@@ -277,7 +278,7 @@
                 raise Failure(
                     Refusal.UNKNOWN_OUTCOME, "the primary may have been replaced"
                 )
-            note_commit(work, view, reply)
+            note_commit(work.values, view, reply)
         work.serving.decisions.write(
             "answered at the primary",
             work.command.request_id,
@@ -287,7 +288,7 @@
             took_ms=round((board.now() - work.arrived_at) * 1000, 1),
         )
         return reply
-    _note_problem(work, pool, reply.status.value, reply.message, AVOID_BUSY)
+    note_problem(work, pool, reply.status.value, reply.message, AVOID_BUSY)
     if reply.status is Status.MALFORMED:
         raise Failure(Refusal.MALFORMED, reply.message)
     if reply.status is Status.TIMEOUT:
@@ -297,14 +298,14 @@
     return None
 
 
-def note_commit(work: Work, view: GroupView, reply: Reply) -> None:
+def note_commit(values: SessionValues, view: GroupView | None, reply: Reply) -> None:
     """Raise the session's floor to a commit of its own."""
-    if reply.position is not None:
-        floors = work.values.floors
-        floors.note_commit(view.service_name, reply.position, view.change)
+    if view is not None and reply.position is not None:
+        values.floors.note_commit(view.service_name, reply.position, view.change)
 
 
-def _note_problem(work: Work, pool: Pool, kind: str, detail: str, avoid: float) -> None:
+def note_problem(work: Work, pool: Pool, kind: str, detail: str, avoid: float) -> None:
+    """Note why a try failed, and avoid the server for `avoid` seconds."""
     work.last_problem = f"{kind}: {detail}" if detail else kind
     statistics = pool.statistics
     until = work.board.now() + avoid
@@ -320,7 +321,7 @@
     )
 
 
-async def _pause_before_retry(work: Work) -> None:
+async def pause_before_retry(work: Work) -> None:
     """Wait a moment; refuse when the time to look for a server is over."""
     if work.board.now() >= work.offer_until:
         if work.offered and work.time_left <= MIN_TIMEOUT:
--- a/src/burdocksail/serving/_transactions.py
+++ b/src/burdocksail/serving/_transactions.py
@@ -1,11 +1,14 @@
 """Transactions: begun with their first statement, bound to one connection."""
 
+from dataclasses import dataclass
+
 from burdocksail.board import GroupView
 from burdocksail.catalog import ReadPolicy, Route
 from burdocksail.core import (
     Begin,
     Commit,
     ExecutePrepared,
+    LogPosition,
     Refusal,
     Rollback,
     Run,
@@ -18,19 +21,38 @@
 from burdocksail.serving._pools import NoConnection, Pool, PooledConnection
 from burdocksail.serving._replies import Failure
 from burdocksail.serving._statements import (
+    AVOID_BROKEN,
+    AVOID_BUSY,
+    AVOID_LAGGING,
     BUSY_PAUSE,
     MIN_TIMEOUT,
     RETRY_AFTER,
     Work,
-    _choose_server,
-    _note_problem,
-    _pause_before_retry,
+    choose_server,
     find_primary,
+    note_commit,
+    note_problem,
+    pause_before_retry,
 )
 
 ROLLBACK_TIMEOUT = 0.3  # seconds; a connection that takes longer is closed
 
 
+@dataclass(frozen=True, slots=True)
+class Binding:
+    """The connection that a transaction runs on.
+
+    Attributes
+    ----------
+    view : GroupView or None
+        View under which it began at the primary; None on a replica.
+    """
+
+    view: GroupView | None
+    pool: Pool
+    connection: PooledConnection
+
+
 class Transaction:
     """A caller's transaction, from BEGIN to its end.
 
@@ -53,9 +75,7 @@
         self._values = values
         self._read_only = read_only
         self._arrived_at = self._board.now()
-        self._view: GroupView | None = None
-        self._pool: Pool | None = None
-        self._connection: PooledConnection | None = None
+        self._binding: Binding | None = None
         self._has_written = False
 
     async def run(self, command: Run | ExecutePrepared, writes: bool) -> Reply:
@@ -66,18 +86,17 @@
         Failure
             If it did not succeed; the transaction must then be rolled back.
         """
-        if self._connection is None:
-            await self._begin(command)
+        binding = self._binding or await self._begin(command)
         self._has_written = self._has_written or writes
         deadline = self._board.now() + self._route.statement_timeout
         while True:
-            reply = await self._exchange(command, deadline)
+            reply = await self._exchange(binding, command, deadline)
             if reply.status is Status.DONE:
                 self._serving.decisions.write(
                     "transaction statement answered",
                     command.request_id,
                     transaction=self.request_id,
-                    upstream=self._pool.upstream.id,
+                    upstream=binding.pool.upstream.id,
                 )
                 return reply
             may_repeat = reply.status in (Status.BUSY, Status.UNKNOWN_STATEMENT)
@@ -95,24 +114,24 @@
         Failure
             ``ABORTED`` only if the server cannot have committed.
         """
-        if self._connection is None:
-            raise _abort("the transaction ran nothing")
-        if self._has_written and not self._may_finish():
+        binding = self._binding or await self._begin(command)
+        if self._has_written and not self._may_finish(binding):
             await self.roll_back()
             raise _abort("the primary may have been replaced")
         deadline = self._board.now() + self._route.statement_timeout
         while True:
-            reply = await self._commit_once(command, deadline)
+            reply = await self._commit_once(binding, command, deadline)
             if reply is not None:
                 return reply
             await self._board.changed.wait(BUSY_PAUSE)
 
     async def roll_back(self) -> None:
         """End the transaction without a commit and give the connection back."""
-        connection, pool = self._connection, self._pool
-        if connection is None:
+        binding = self._binding
+        if binding is None:
             return
         self._detach()
+        pool, connection = binding.pool, binding.connection
         try:
             replies = await connection.connection.run([Rollback("")], ROLLBACK_TIMEOUT)
         except UpstreamLost:
@@ -123,19 +142,23 @@
         else:
             pool.discard(connection)
 
-    async def _begin(self, command: Run | ExecutePrepared) -> None:
+    async def _begin(self, command: Run | ExecutePrepared | Commit) -> Binding:
+        """Begin at a server, and return what the transaction is bound to."""
         work = Work(self._serving, self._route, self._values, command)
         work.arrived_at = self._board.now()
         while True:
             if self._read_only and self._route.policy is not ReadPolicy.PRIMARY:
-                view, pool = None, await _choose_server(work)
+                view, pool = None, await choose_server(work)
             else:
                 view, pool = await find_primary(work)
-            if await self._try_begin(work, view, pool):
-                return
-            await _pause_before_retry(work)
+            binding = await self._try_begin(work, view, pool)
+            if binding is not None:
+                return binding
+            await pause_before_retry(work)
 
-    async def _try_begin(self, work: Work, view: GroupView | None, pool: Pool) -> bool:
+    async def _try_begin(
+        self, work: Work, view: GroupView | None, pool: Pool
+    ) -> Binding | None:
         board = self._board
         work.tries += 1
         work.tried.add(pool.upstream.id)
@@ -143,13 +166,14 @@
         try:
             connection = await pool.acquire(self._route.priority, wait)
         except NoConnection as error:
-            _note_problem(work, pool, "no connection", str(error), 0.0)
-            return False
+            note_problem(work, pool, "no connection", str(error), AVOID_BUSY)
+            return None
         floor, allowed = self._check_start(view, pool)
         if not allowed:
             pool.release(connection)
-            return False
-        self._attach(view, pool, connection)
+            return None
+        binding = Binding(view, pool, connection)
+        self._attach(binding)
         asked_at = board.now()
         timeout = max(MIN_TIMEOUT, work.offer_until - board.now())
         begin = Begin("", self._read_only)
@@ -160,20 +184,22 @@
         except UpstreamLost as error:
             self._detach()
             pool.discard(connection)
-            _note_problem(work, pool, "server lost", str(error), 0.5)
-            return False
+            note_problem(work, pool, "server lost", str(error), AVOID_BROKEN)
+            return None
         if view is not None:
             note_position(board, view, asked_at, reply.position)
         if reply.status is Status.DONE:
-            return True
+            return binding
         self._detach()
         pool.release(connection)
         if reply.status is Status.LAGGING:
-            pool.statistics.lagging_until = board.now() + 0.15
-        _note_problem(work, pool, reply.status.value, reply.message, 0.04)
-        return False
+            pool.statistics.lagging_until = board.now() + AVOID_LAGGING
+        note_problem(work, pool, reply.status.value, reply.message, AVOID_BUSY)
+        return None
 
-    def _check_start(self, view: GroupView | None, pool: Pool):
+    def _check_start(
+        self, view: GroupView | None, pool: Pool
+    ) -> tuple[LogPosition | None, bool]:
         """Return the floor of BEGIN, and whether it may be sent now."""
         board = self._board
         service = self._route.service
@@ -185,13 +211,15 @@
             return floor.position, True
         return None, current is not None and current.primary_id == pool.upstream.id
 
-    async def _exchange(self, command, deadline: float) -> Reply:
+    async def _exchange(
+        self, binding: Binding, command: Run | ExecutePrepared, deadline: float
+    ) -> Reply:
         timeout = max(MIN_TIMEOUT, deadline - self._board.now())
         try:
             return await exchange(
                 self._board,
-                self._pool,
-                self._connection,
+                binding.pool,
+                binding.connection,
                 self._values,
                 command,
                 timeout,
@@ -200,9 +228,11 @@
             # The connection is closed, so the server rolls back.
             raise _abort(f"server lost: {error}") from error
 
-    async def _commit_once(self, command: Commit, deadline: float) -> Reply | None:
+    async def _commit_once(
+        self, binding: Binding, command: Commit, deadline: float
+    ) -> Reply | None:
         """Send COMMIT; None if it has not run and may be sent again."""
-        connection, pool, view = self._connection, self._pool, self._view
+        pool, connection = binding.pool, binding.connection
         timeout = max(MIN_TIMEOUT, deadline - self._board.now())
         try:
             reply = await exchange(
@@ -217,17 +247,15 @@
                 return None
             await self.roll_back()
             raise _abort("the server stays busy")
-        return self._end_commit(connection, pool, view, reply)
+        return self._end_commit(binding, reply)
 
-    def _end_commit(
-        self, connection: PooledConnection, pool: Pool, view, reply: Reply
-    ) -> Reply:
-        may_finish = self._may_finish()
+    def _end_commit(self, binding: Binding, reply: Reply) -> Reply:
+        may_finish = self._may_finish(binding)
         self._detach()
         if reply.state is TransactionState.IDLE:
-            pool.release(connection)
+            binding.pool.release(binding.connection)
         else:
-            pool.discard(connection)
+            binding.pool.discard(binding.connection)
         if reply.status is Status.DONE:
             if not self._has_written:
                 return reply
@@ -235,9 +263,7 @@
                 raise Failure(
                     Refusal.UNKNOWN_OUTCOME, "the primary may have been replaced"
                 )
-            if reply.position is not None:
-                floors = self._values.floors
-                floors.note_commit(view.service_name, reply.position, view.change)
+            note_commit(self._values, binding.view, reply)
             return reply
         if reply.was_run:
             raise self._lose_commit(f"{reply.status.value} {reply.message}")
@@ -249,25 +275,26 @@
             return Failure(Refusal.UNKNOWN_OUTCOME, reason)
         return _abort(reason)
 
-    def _may_finish(self) -> bool:
-        return self._view is not None and self._board.authority.may_finish(
-            self._view, self._board.now()
+    def _may_finish(self, binding: Binding) -> bool:
+        return binding.view is not None and self._board.authority.may_finish(
+            binding.view, self._board.now()
         )
 
-    def _attach(self, view, pool: Pool, connection: PooledConnection) -> None:
-        self._view, self._pool, self._connection = view, pool, connection
+    def _attach(self, binding: Binding) -> None:
+        self._binding = binding
+        view = binding.view
         self._serving.open_transactions += 1
         if view is not None:
             in_flight = self._board.authority.in_flight
             in_flight[view.service_name] = in_flight.get(view.service_name, 0) + 1
 
     def _detach(self) -> None:
-        if self._connection is None:
+        binding, self._binding = self._binding, None
+        if binding is None:
             return
-        self._connection = None
         self._serving.open_transactions -= 1
-        if self._view is not None:
-            self._board.authority.in_flight[self._view.service_name] -= 1
+        if binding.view is not None:
+            self._board.authority.in_flight[binding.view.service_name] -= 1
 
 
 def _abort(reason: str) -> Failure:
