--- a/src/burdocksail/serving/_statements.py
+++ b/src/burdocksail/serving/_statements.py
@@ -17,6 +17,7 @@
 # Shares of the route's limits.
 OFFER_SHARE = 0.6  # of the target latency, for tries before a refusal
 WAIT_SHARE = 0.45  # of the statement timeout, to wait for a change of primary
+ACQUIRE_SHARE = 0.2  # of the target latency, to wait for a connection of one server
 FIRST_TRY_SHARE = 0.4  # of the statement timeout, for a read's first server
 EVIDENCE_SHARE = 0.2  # of the target latency, to wait for evidence to return
 
@@ -155,11 +156,9 @@
     work.tries += 1
     work.tried.add(pool.upstream.id)
     try:
-        connection = await pool.acquire(
-            work.route.priority, work.offer_until - board.now()
-        )
+        connection = await pool.acquire(work.route.priority, limit_wait(work))
     except NoConnection as error:
-        note_problem(work, pool, "no connection", str(error), AVOID_BUSY)
+        note_missing_connection(work, pool, error)
         return None
     # The floor is found again: waiting may have made older samples unusable.
     floor = find_floor(board, work.route, work.values.floors, work.arrived_at)
@@ -193,6 +192,21 @@
     return _judge_read(work, pool, reply)
 
 
+def limit_wait(work: Work) -> float:
+    """Return how long a read waits for a connection of one server.
+
+    The server may be dark, and others can run the read as well.
+    """
+    limit = work.route.target_latency * ACQUIRE_SHARE
+    return min(limit, work.offer_until - work.board.now())
+
+
+def note_missing_connection(work: Work, pool: Pool, error: NoConnection) -> None:
+    """Avoid a server that does not answer for longer than one that is full."""
+    avoid = AVOID_BROKEN if error.unreachable else AVOID_BUSY
+    note_problem(work, pool, "no connection", str(error), avoid)
+
+
 def _limit_try(work: Work) -> float:
     """Return how long one server has for a read.
 
@@ -236,7 +250,7 @@
     try:
         connection = await pool.acquire(work.route.priority, wait)
     except NoConnection as error:
-        note_problem(work, pool, "no connection", str(error), AVOID_BUSY)
+        note_missing_connection(work, pool, error)
         return None
     if board.authority.may_start(service, board.now()) != view:
         pool.release(connection)
--- a/src/burdocksail/serving/_transactions.py
+++ b/src/burdocksail/serving/_transactions.py
@@ -30,7 +30,9 @@
     Work,
     choose_server,
     find_primary,
+    limit_wait,
     note_commit,
+    note_missing_connection,
     note_problem,
     pause_before_retry,
 )
@@ -162,11 +164,11 @@
         board = self._board
         work.tries += 1
         work.tried.add(pool.upstream.id)
-        wait = min(work.offer_until, work.deadline) - board.now()
+        wait = limit_wait(work) if view is None else work.offer_until - board.now()
         try:
             connection = await pool.acquire(self._route.priority, wait)
         except NoConnection as error:
-            note_problem(work, pool, "no connection", str(error), AVOID_BUSY)
+            note_missing_connection(work, pool, error)
             return None
         floor, allowed = self._check_start(view, pool)
         if not allowed:
--- a/src/burdocksail/serving/serving_test.py
+++ b/src/burdocksail/serving/serving_test.py
@@ -116,6 +116,24 @@
 
         self.play(scenario)
 
+    def test_read_goes_on_elsewhere_when_a_server_is_dark(self):
+        """Reads waited for a connection of the dark server to the end."""
+
+        async def scenario(fleet: Fleet) -> None:
+            await asyncio.sleep(1.0)
+            dark = fleet.database.servers["server-1"]
+            dark.cut_from = {"*"}
+            for connection in list(dark.connections):
+                connection.close()
+            loop = asyncio.get_running_loop()
+            started = loop.time()
+            session = fleet.session("instance-1", ReadPolicy.STATED_AGE)
+            reply = await session.execute(Run("r", "READ", False))
+            self.assertIsNone(reply.refusal)
+            self.assertLess(loop.time() - started, 0.3)
+
+        self.play(scenario)
+
     def test_write_without_an_answer_is_told_as_unknown_and_runs_once(self):
         async def scenario(fleet: Fleet) -> None:
             primary = fleet.database.servers["server-0"]
