Count only instances that know whether they miss a primary

Cause: since large fleets probe less, instances without traffic neither reach nor miss a primary, yet counted as reaching it; a dead primary was then replaced only when its entry had lapsed. Change: renewals name the services whose primary answered lately; who knows neither abstains; a suspicion needs two witnesses where there are two instances; a failed statement makes the next probe due; the leader probes as often as ever; scarce connections are closed after 0.15 s of idleness. Tests: test_large_fleet_replaces_a_primary_that_its_callers_miss and test_instance_alone_in_missing_a_primary_is_no_witness.

--- a/src/burdocksail/authority/_follower.py
+++ b/src/burdocksail/authority/_follower.py
@@ -21,6 +21,20 @@
 UNREACHABLE_AFTER = 0.25  # seconds beyond the probe that was not answered
 
 
+REACHED_WINDOW = 1.5  # seconds; several probes in a fleet of usual size
+
+
+def find_reached(board: Blackboard) -> tuple[str, ...]:
+    """Return the services whose primary has answered this instance lately."""
+    authority = board.authority
+    limit = board.now() - REACHED_WINDOW
+    return tuple(
+        service
+        for service, at in authority.reached.items()
+        if at >= limit and service not in authority.unreachable
+    )
+
+
 class Follower:
     """Renews evidence with the leader and applies the leader's view."""
 
@@ -122,6 +136,7 @@
             if previous is not None and previous.change != view.change:
                 self._board.samples.of(view.service_name).clear()
                 authority.unreachable.pop(view.service_name, None)
+                authority.reached.pop(view.service_name, None)
             self._log.info(
                 "group view",
                 service=view.service_name,
@@ -167,6 +182,7 @@
             store_works=board.store.works,
             busy=tuple(s for s, n in authority.in_flight.items() if n > 0),
             unreachable=tuple(unreachable),
+            reached=find_reached(board),
             leaving=board.stop.requested,
         )
 
--- a/src/burdocksail/authority/_watchdog.py
+++ b/src/burdocksail/authority/_watchdog.py
@@ -7,6 +7,7 @@
 import structlog
 
 from burdocksail.authority._change import ChangeFailed, PrimaryChange
+from burdocksail.authority._follower import find_reached
 from burdocksail.authority._leadership import Leadership, LeadershipLost
 from burdocksail.board import Blackboard, GroupState, GroupView
 from burdocksail.catalog import UpstreamRole, UpstreamState
@@ -174,6 +175,8 @@
 
     def _judge_reachability(self, view: GroupView) -> Need:
         share = self._find_unreachable_share(view)
+        if not self._has_witnesses(view):
+            share = 0.0
         if share == 1.0:
             return self._after(view, Need.UNREACHABLE, self._find_patience())
         if share >= PARTLY_SHARE:
@@ -192,13 +195,31 @@
         known = max(1, len(self._board.members.registered))
         return UNREACHABLE_PATIENCE if 2 * reporting > known else MINORITY_PATIENCE
 
+    def _has_witnesses(self, view: GroupView) -> bool:
+        """Return whether more than one instance misses the primary.
+
+        One alone may itself be cut off, unless there is no other.
+        """
+        others = len(self._leadership.grantees.fresh(self._board.now()))
+        return len(self._collect_votes(view.service_name)) >= min(2, 1 + others)
+
     def _find_unreachable_share(self, view: GroupView) -> float:
-        reports = [
-            view.service_name in g.renewal.unreachable
-            for g in self._leadership.grantees.fresh(self._board.now())
+        votes = self._collect_votes(view.service_name)
+        return sum(votes) / len(votes) if votes else 0.0
+
+    def _collect_votes(self, service: str) -> list[bool]:
+        """Return for each instance that knows whether it misses the primary."""
+        board = self._board
+        others = [
+            (g.renewal.unreachable, g.renewal.reached)
+            for g in self._leadership.grantees.fresh(board.now())
+        ]
+        own = (tuple(board.authority.unreachable), find_reached(board))
+        return [
+            service in unreachable
+            for unreachable, reached in (own, *others)
+            if service in unreachable or service in reached
         ]
-        reports.append(view.service_name in self._board.authority.unreachable)
-        return sum(reports) / len(reports)
 
     def _wait_until_settled(self, view: GroupView, need: Need) -> Need:
         if self._leadership.is_settled:
--- a/src/burdocksail/authority/authority_test.py
+++ b/src/burdocksail/authority/authority_test.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
 from burdocksail.authority._grantees import Grantees
 from burdocksail.authority._limits import (
@@ -29,6 +30,7 @@
     silence_logs,
 )
 from burdocksail.fleet import Renew
+from burdocksail.serving import _freshness
 
 
 def setUpModule():
@@ -40,7 +42,7 @@
 
 
 def make_renewal(member: Member, epoch: int, generation: int = 0) -> Renew:
-    return Renew(member, 0.0, epoch, generation, 1, 1, True, (), (), False)
+    return Renew(member, 0.0, epoch, generation, 1, 1, True, (), (), (), False)
 
 
 class GranteesTest(unittest.TestCase):
@@ -332,6 +334,32 @@
 
         self.play(scenario)
 
+    def test_instance_alone_in_missing_a_primary_is_no_witness(self):
+        """In large fleets most instances do not probe, so they do not know."""
+
+        async def scenario(fleet: Fleet) -> None:
+            await asyncio.sleep(3.0)
+            server = fleet.database.servers["server-0"]
+            server.cut_from = {fleet.leader().board.member.name}
+            await asyncio.sleep(4.0)
+            self.assertEqual(fleet.database.promotions, [])
+
+        with mock.patch.object(_freshness, "PROBES_PER_SECOND", 0.001):
+            self.play(scenario)
+
+    def test_large_fleet_replaces_a_primary_that_its_callers_miss(self):
+        async def scenario(fleet: Fleet) -> None:
+            await asyncio.sleep(3.0)
+            fleet.database.servers["server-0"].crash()
+            for name in fleet.instances:
+                session = fleet.session(name, ReadPolicy.PRIMARY)
+                await session.execute(Run(f"first-{name}", "WRITE", True))
+            gap = await self.time_until_written(fleet, "instance-1")
+            self.assertLess(gap, 3.0)
+
+        with mock.patch.object(_freshness, "PROBES_PER_SECOND", 0.001):
+            self.play(scenario)
+
     def test_full_servers_are_not_taken_for_lost(self):
         async def scenario(fleet: Fleet) -> None:
             primary = fleet.database.servers["server-0"]
--- a/src/burdocksail/board/_authority.py
+++ b/src/burdocksail/board/_authority.py
@@ -51,6 +51,10 @@
         without this instance knowing.
     unreachable : dict of str to float
         Services whose primary does not answer here, and since when.
+    reached : dict of str to float
+        Services whose primary has answered here, and when it did last.
+    suspected : set of str
+        Services at whose primary something has just failed here.
     in_flight : dict of str to int
         Statements and transactions now at the primary, by service.
     """
@@ -62,6 +66,8 @@
     evidence_until: float = float("-inf")
     last_grant: float | None = None
     unreachable: dict[str, float] = field(default_factory=dict)
+    reached: dict[str, float] = field(default_factory=dict)
+    suspected: set[str] = field(default_factory=set)
     in_flight: dict[str, int] = field(default_factory=dict)
 
     def may_start(self, service: str, now: float) -> GroupView | None:
--- a/src/burdocksail/fleet/_messages.py
+++ b/src/burdocksail/fleet/_messages.py
@@ -34,6 +34,8 @@
         Services at whose primary the sender has work in flight.
     unreachable : tuple of str
         Services whose primary does not answer the sender.
+    reached : tuple of str
+        Services whose primary has answered the sender lately.
     leaving : bool
         Whether the sender is stopping.
     """
@@ -47,6 +49,7 @@
     store_works: bool
     busy: tuple[str, ...]
     unreachable: tuple[str, ...]
+    reached: tuple[str, ...]
     leaving: bool
 
 
--- a/src/burdocksail/fleet/fleet.thrift
+++ b/src/burdocksail/fleet/fleet.thrift
@@ -17,7 +17,7 @@
 struct Renew {
   1: Member member, 2: double sent_at, 3: i64 epoch, 4: i64 generation,
   5: i64 catalog_version, 6: i64 directory_revision, 7: bool store_works,
-  8: list<string> busy, 9: list<string> unreachable, 10: bool leaving
+  8: list<string> busy, 9: list<string> unreachable, 10: list<string> reached, 11: bool leaving
 }
 struct Grant {
   1: Member leader, 2: i64 epoch, 3: i64 generation, 4: double echo,
--- a/src/burdocksail/serving/_freshness.py
+++ b/src/burdocksail/serving/_freshness.py
@@ -106,6 +106,7 @@
     current = authority.groups.get(view.service_name)
     if position is None or current is None or current.change != view.change:
         return
+    authority.reached[view.service_name] = board.now()
     if asked_at >= authority.evidence_until:
         return
     samples = board.samples.of(view.service_name)
@@ -136,10 +137,14 @@
     def _is_due(self, view: GroupView, now: float) -> bool:
         if view.state is GroupState.CLOSED:
             return False
-        if view.service_name in self._board.authority.unreachable:
+        authority = self._board.authority
+        service = view.service_name
+        if service in authority.unreachable or service in authority.suspected:
             return True
         samples = self._board.samples.of(view.service_name)
-        interval = max(SAMPLE_INTERVAL, self._board.members.alive / PROBES_PER_SECOND)
+        interval = SAMPLE_INTERVAL
+        if authority.leader != self._board.member:
+            interval = max(interval, self._board.members.alive / PROBES_PER_SECOND)
         return not samples or now - samples[-1].asked_at >= interval
 
     def _start(self, view: GroupView) -> None:
@@ -148,6 +153,7 @@
         task.add_done_callback(lambda _: self._running.pop(view.service_name, None))
 
     async def _sample(self, view: GroupView) -> None:
+        self._board.authority.suspected.discard(view.service_name)
         upstream = self._board.directory.upstreams.get(view.primary_id)
         if upstream is None:
             return
--- a/src/burdocksail/serving/_pools.py
+++ b/src/burdocksail/serving/_pools.py
@@ -28,6 +28,8 @@
 # fleet should need no more than half of what they take.
 SURPLUS_SHARE = 0.5
 SURPLUS_IDLE = 3.0  # seconds until an idle connection beyond that share closes
+# Where there are fewer connections than instances, they have to take turns.
+SCARCE_IDLE = 0.15  # seconds
 LATENCY_WEIGHT = 0.1  # of the newest sample in the moving average
 
 
@@ -145,7 +147,10 @@
         self._open_if_wanted()
         done, _ = await asyncio.wait((waiter,), timeout=max(0.0, timeout))
         if done:
-            return waiter.result()
+            result = waiter.result()
+            if isinstance(result, NoConnection):
+                raise result
+            return result
         waiter.cancel()
         if not self._idle and not self._in_use:
             # Nothing is open, and the connection being opened is overdue.
@@ -169,9 +174,11 @@
 
     def close_surplus(self) -> None:
         """Close what has been idle beyond half of this instance's fair share."""
-        limit = self._board.now() - SURPLUS_IDLE
+        share = self._find_share()
+        scarce = share < 1.0
+        limit = self._board.now() - (SCARCE_IDLE if scarce else SURPLUS_IDLE)
         self._idle = [c for c in self._idle if c.is_open]
-        kept = max(1.0, self._fair_share() * SURPLUS_SHARE)
+        kept = 0.0 if scarce else max(1.0, share * SURPLUS_SHARE)
         while self.size > kept and self._idle:
             if self._idle[0].idle_since > limit:
                 return
@@ -250,9 +257,10 @@
         waiters, self._waiters = self._waiters, []
         for _, _, waiter in waiters:
             if not waiter.done():
-                waiter.set_exception(NoConnection(reason, unreachable))
+                waiter.set_result(NoConnection(reason, unreachable))
 
-    def _fair_share(self) -> float:
+    def _find_share(self) -> float:
+        """Return how many connections each instance could have."""
         catalog = self._board.catalog.catalog
         service = (
             None if catalog is None else catalog.services.get(self.upstream.service)
@@ -261,11 +269,10 @@
             return MIN_CONNECTIONS
         members = self._board.members
         instances = max(1, members.alive, len(members.registered))
-        usable = service.max_connections - RESERVED_CONNECTIONS
-        return max(MIN_CONNECTIONS, usable / instances)
+        return (service.max_connections - RESERVED_CONNECTIONS) / instances
 
     def _capacity(self) -> int:
-        return int(self._fair_share() * SHARE_FACTOR)
+        return int(max(MIN_CONNECTIONS, self._find_share()) * SHARE_FACTOR)
 
 
 class Pools:
--- a/src/burdocksail/serving/_statements.py
+++ b/src/burdocksail/serving/_statements.py
@@ -203,6 +203,8 @@
 
 def note_missing_connection(work: Work, pool: Pool, error: NoConnection) -> None:
     """Avoid a server that does not answer for longer than one that is full."""
+    if error.unreachable:
+        work.board.authority.suspected.add(work.route.service)
     avoid = AVOID_BROKEN if error.unreachable else AVOID_BUSY
     note_problem(work, pool, "no connection", str(error), avoid)
 
@@ -269,6 +271,7 @@
             max(MIN_TIMEOUT, work.time_left),
         )
     except UpstreamLost as error:
+        board.authority.suspected.add(service)
         note_problem(work, pool, "server lost", str(error), AVOID_BROKEN)
         if writes:
             raise Failure(Refusal.UNKNOWN_OUTCOME, "no answer to a write") from error
