--- a/src/burdocksail/authority/_claims.py
+++ b/src/burdocksail/authority/_claims.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import random
 from collections.abc import Callable
 
 import structlog
@@ -68,6 +69,7 @@
         self._record_seen = False
         self._started_at = board.now()
         self._challenged_at = float("-inf")
+        self._random = random.Random(board.member.incarnation)
         self._log = structlog.get_logger()
 
     def handle_report(self, report: LeaderReport) -> None:
@@ -125,9 +127,9 @@
         self._reports.clear()
         query = LeaderQuery(board.member, board.authority.epoch)
         leader = board.authority.leader
-        others = board.members.addresses() - {board.member.address}
-        if leader is not None:
-            others.discard(leader.address)
+        others = board.members.pick_addresses(board.member.address, self._random)
+        if leader is not None and leader.address in others:
+            others.remove(leader.address)
         for address in others:
             self._peers.send(address, query)
         await asyncio.sleep(REPORT_WAIT)
--- a/src/burdocksail/authority/_follower.py
+++ b/src/burdocksail/authority/_follower.py
@@ -1,6 +1,7 @@
 """Keeps this instance's view and evidence, whoever leads."""
 
 import asyncio
+import random
 
 import structlog
 
@@ -42,6 +43,7 @@
         self._board = board
         self._peers = peers
         self._snapshots = snapshots
+        self._random = random.Random(board.member.incarnation)
         self._log = structlog.get_logger()
 
     async def renew_evidence(self) -> None:
@@ -55,11 +57,12 @@
         board = self._board
         leader = board.authority.leader
         renewal = self._make_renewal()
-        if leader is not None:
-            targets = {leader.address}
+        own = board.member.address
+        if leader is None:
+            targets = board.members.pick_addresses(own, self._random)
         else:
-            targets = board.members.addresses()
-        for address in targets - {board.member.address}:
+            targets = [] if leader.address == own else [leader.address]
+        for address in targets:
             self._peers.send(address, renewal)
 
     def handle_grant(self, grant: Grant, address: Address) -> None:
--- a/src/burdocksail/board/_fleet.py
+++ b/src/burdocksail/board/_fleet.py
@@ -1,10 +1,13 @@
 """Sections on the fleet: configuration, upstreams, instances, the store."""
 
+import random
 from dataclasses import dataclass, field
 
 from burdocksail.catalog import Catalog, Upstream
 from burdocksail.ports import StoredObject
 
+ASKED_AT_ONCE = 12  # instances; one that knows the answer is among them
+
 
 @dataclass(frozen=True, slots=True)
 class Member:
@@ -79,6 +82,13 @@
     seeds: tuple[tuple[str, int], ...] = ()
     alive: int = 1
 
+    def pick_addresses(
+        self, own: tuple[str, int], rng: random.Random
+    ) -> list[tuple[str, int]]:
+        """Return some addresses of others, so that questions to all stay few."""
+        others = sorted(self.addresses() - {own})
+        return rng.sample(others, min(ASKED_AT_ONCE, len(others)))
+
     def addresses(self) -> set[tuple[str, int]]:
         """Return every address at which an instance may be."""
         return {m.address for m in self.registered.values()} | set(self.seeds)
