Give the answer that is under way when an instance stops

Cause: at the end of the grace time sessions were closed for writing while a request was still being answered, found by reading the border for the landing. Change: such a session ends after its answer; the stop waits for it.

--- a/src/burdocksail/agent/_instance.py
+++ b/src/burdocksail/agent/_instance.py
@@ -27,7 +27,7 @@
 ROTATION_DELAY = 2.3  # seconds until a balancer that probes each second knows
 POLL_INTERVAL = 0.05  # seconds
 EXIT_MARGIN = 0.5  # seconds of the grace time kept for closing
-WITHDRAW_TIMEOUT = 0.4  # seconds
+WITHDRAW_TIMEOUT = 0.15  # seconds
 EVIDENCE_PATIENCE = 2.0  # seconds without evidence until callers are sent elsewhere
 
 
@@ -150,6 +150,8 @@
             self.sessions.end_idle()
             await asyncio.sleep(POLL_INTERVAL)
         self.sessions.end_all()
+        while self.sessions and board.now() < started + grace - EXIT_MARGIN / 2:
+            await asyncio.sleep(POLL_INTERVAL)
         self._authority.say_farewell()
         await self._withdraw()
         self._pools.close()
