Ask peers for a configuration only while the store does not answer

Ruled out: questions for the leader (bounding them changed nothing). Tests: test_instances_ask_no_peers_for_what_the_store_does_not_have, failing before; test_instance_that_starts_without_the_store_asks_peers.

--- a/src/burdocksail/fleet/_snapshots.py
+++ b/src/burdocksail/fleet/_snapshots.py
@@ -1,6 +1,7 @@
 """Takes from peers what the store does not tell this instance."""
 
 import asyncio
+import random
 from dataclasses import dataclass
 
 import structlog
@@ -31,6 +32,7 @@
         self._peers = peers
         self._tracker = tracker
         self._ahead: dict[Address, _Ahead] = {}
+        self._random = random.Random(board.member.incarnation)
         self._log = structlog.get_logger()
 
     def take(self) -> Snapshot:
@@ -71,11 +73,15 @@
         return ahead.revision > board.directory.revision
 
     async def bootstrap(self) -> None:
-        """Ask known peers until there is a configuration."""
-        while self._board.catalog.catalog is None:
+        """Ask peers for a configuration while the store does not answer."""
+        board = self._board
+        while board.catalog.catalog is None:
             await asyncio.sleep(FETCH_INTERVAL)
-            for address in sorted(self._board.members.addresses()):
-                if address != self._board.member.address:
+            if board.store.works:
+                continue  # There is none yet.
+            own = board.member.address
+            for address in board.members.pick_addresses(own, self._random):
+                if board.catalog.catalog is None:
                     await self._fetch(address)
 
     async def _fetch(self, address: Address) -> None:
--- a/src/burdocksail/serving/serving_test.py
+++ b/src/burdocksail/serving/serving_test.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
 from burdocksail.board import Sample
 from burdocksail.catalog import ReadPolicy, UpstreamState
@@ -25,6 +26,7 @@
     run_virtually,
     silence_logs,
 )
+from burdocksail.ports import Kind
 from burdocksail.serving._freshness import SessionFloors, find_floor
 
 
@@ -285,6 +287,33 @@
 
         self.play(scenario)
 
+    def test_instance_that_starts_without_the_store_asks_peers(self):
+        async def scenario(fleet: Fleet) -> None:
+            fleet.kill("instance-1")
+            fleet.clients["instance-1"].down = True
+            instance = await fleet.start_instance("instance-1")
+            self.assertTrue(await instance.wait_for_catalog(2.0))
+
+        self.play(scenario)
+
+    def test_instances_ask_no_peers_for_what_the_store_does_not_have(self):
+        """Each asked all others all the time until the first configuration."""
+
+        async def scenario(fleet: Fleet) -> None:
+            fleet.store.remove(Kind.CATALOG, "main")
+            instance = await fleet.start_instance("instance-2")
+            fetched = []
+
+            async def fetch(address):
+                fetched.append(address)
+
+            with mock.patch.object(instance._snapshots, "_fetch", fetch):
+                instance.board.catalog.catalog = None
+                await asyncio.sleep(0.7)
+            self.assertEqual(fetched, [])
+
+        self.play(scenario)
+
 
 class FloorTest(unittest.TestCase):
     """What a read has to cover, by policy and samples."""
