Make the same events have the same effects in every process

Waiters of a signal, tasks and the fakes' connections were kept in sets, whose order follows memory addresses; messages to all followed the hash of addresses, which differs by process. Ruled out: wall-clock time (the loop's time is virtual; the run that failed differs in order of wake-ups only) and load as such. Change: ordered collections, sorted addresses.

--- a/src/burdocksail/agent/_instance.py
+++ b/src/burdocksail/agent/_instance.py
@@ -89,7 +89,7 @@
         )
         self._registration = Registration(board, store)
         self._sampler = Sampler(board, self._pools)
-        self._tasks: set[asyncio.Task] = set()
+        self._tasks: dict[asyncio.Task, None] = {}
         self._log = structlog.get_logger()
 
     @property
@@ -161,7 +161,7 @@
 
     def kill(self) -> None:
         """End all work at once, as a crash would."""
-        for task in self._tasks:
+        for task in list(self._tasks):
             task.cancel()
         self._authority.kill()
         self._pools.close()
@@ -223,11 +223,11 @@
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.create_task(work)
-        self._tasks.add(task)
+        self._tasks[task] = None
         task.add_done_callback(self._finish)
 
     def _finish(self, task: asyncio.Task) -> None:
-        self._tasks.discard(task)
+        self._tasks.pop(task, None)
         if not task.cancelled() and task.exception() is not None:
             self._log.critical("controller failed", error=repr(task.exception()))
             if self._log_buffer is not None:
--- a/src/burdocksail/authority/_controller.py
+++ b/src/burdocksail/authority/_controller.py
@@ -49,7 +49,7 @@
             board, store, peers, self._begin_leadership, self.is_leading
         )
         self._leadership: Leadership | None = None
-        self._tasks: set[asyncio.Task] = set()
+        self._tasks: dict[asyncio.Task, None] = {}
         self._handlers = {
             Renew: self._handle_renew,
             Grant: self._follower.handle_grant,
@@ -107,7 +107,7 @@
         """End all work at once, as a crash would."""
         if self._leadership is not None:
             self._leadership.end("killed")
-        for task in self._tasks:
+        for task in list(self._tasks):
             task.cancel()
 
     def say_farewell(self) -> None:
@@ -129,11 +129,11 @@
 
     def _spawn(self, work) -> None:
         task = asyncio.create_task(work)
-        self._tasks.add(task)
+        self._tasks[task] = None
         task.add_done_callback(self._finish)
 
     def _finish(self, task: asyncio.Task) -> None:
-        self._tasks.discard(task)
+        self._tasks.pop(task, None)
         if task.cancelled() or task.exception() is None:
             return
         self._log.error("task failed", error=repr(task.exception()))
--- a/src/burdocksail/authority/_leadership.py
+++ b/src/burdocksail/authority/_leadership.py
@@ -135,7 +135,7 @@
         groups = tuple(self.views.values())
         self._follower.apply_view(self.epoch, self._generation, groups)
         grant = self._make_grant(echo=0.0, extends=False)
-        for address in self._addresses():
+        for address in sorted(self._addresses()):
             self._peers.send(address, grant)
 
     def handle_renewal(self, renewal: Renew) -> None:
--- a/src/burdocksail/board/_signal.py
+++ b/src/burdocksail/board/_signal.py
@@ -7,11 +7,12 @@
     """A condition without a lock, for the tasks of one event loop."""
 
     def __init__(self) -> None:
-        self._waiters: set[asyncio.Future] = set()
+        # In order of arrival, so that the same events always have the same effects.
+        self._waiters: dict[asyncio.Future, None] = {}
 
     def notify(self) -> None:
         """Wake all waiters."""
-        waiters, self._waiters = self._waiters, set()
+        waiters, self._waiters = self._waiters, {}
         for waiter in waiters:
             if not waiter.done():
                 waiter.set_result(None)
@@ -27,9 +28,9 @@
         if timeout <= 0:
             return False
         waiter = asyncio.get_running_loop().create_future()
-        self._waiters.add(waiter)
+        self._waiters[waiter] = None
         try:
             done, _ = await asyncio.wait((waiter,), timeout=timeout)
         finally:
-            self._waiters.discard(waiter)
+            self._waiters.pop(waiter, None)
         return bool(done)
--- a/src/burdocksail/fakes/_servers.py
+++ b/src/burdocksail/fakes/_servers.py
@@ -69,7 +69,7 @@
     max_connections: int = 100
     cut_from: set[str] = field(default_factory=set)
     lose_answer: bool = False
-    connections: set["MemoryConnection"] = field(default_factory=set)
+    connections: dict["MemoryConnection", None] = field(default_factory=dict)
     noticed_at: float | None = None
 
     @property
@@ -200,7 +200,7 @@
         self.values: dict[str, str] = {}
         self.prepared: dict[str, tuple[str, bool]] = {}
         self.position: LogPosition | None = server.position
-        server.connections.add(self)
+        server.connections[self] = None
 
     @property
     def is_open(self) -> bool:
@@ -211,7 +211,7 @@
         """Close; an open transaction rolls back."""
         self._open = False
         self._writes.clear()
-        self._server.connections.discard(self)
+        self._server.connections.pop(self, None)
 
     async def run(
         self,
