Open a group only when the promoted server leads a later term

A change that a dead leader had left promoted a server that had been cut off since an earlier change and still took itself for primary; its old claim was taken for the effect of the order, and the group opened 0.3 s before the server led. In the same way a change that found the old primary claiming to lead, with every other listed server answering, opened it without any order, though a promoted server may have crashed and left the list.

Mend: an order is always sent; a server that claimed to lead before has to show a later term, or keep its term for longer than an answered order takes.

Cost: a change that a leader left before its order took effect anywhere waits up to 3 s more.

--- a/src/burdocksail/authority/_change.py
+++ b/src/burdocksail/authority/_change.py
@@ -33,6 +33,7 @@
 CATCH_UP_LIMIT = 1.0  # seconds for a replica to receive the old primary's last
 SETTLE_INTERVAL = 0.06  # seconds; commits on their way to replicas arrive
 LEAD_LIMIT = ORDER_LIMIT + 2.0  # seconds from the order until the server must lead
+PROMOTION_LIMIT = 3.0  # seconds; an answered order takes some hundred milliseconds
 POLL_INTERVAL = 0.04  # seconds
 
 
@@ -92,9 +93,8 @@
             await self._record()
             stepped = await self._silence_old_primary()
             chosen = await self._choose(stepped)
-            if chosen is not None:
-                await self._promote(chosen)
-            self._open(chosen.upstream.id if chosen else self._old.primary_id)
+            await self._promote(chosen)
+            self._open(chosen.upstream.id)
         finally:
             self._inspector.close()
 
@@ -165,8 +165,8 @@
                 self._log.info("waiting for confirmation", silent=silent[:8])
             await asyncio.sleep(POLL_INTERVAL)
 
-    async def _choose(self, stepped: ServerStatus | None) -> Inspected | None:
-        """Return the server to promote, None if the present primary stays."""
+    async def _choose(self, stepped: ServerStatus | None) -> Inspected:
+        """Return the server to promote."""
         candidates = self._candidates()
         if not candidates:
             raise ChangeFailed("no server is left to promote")
@@ -177,11 +177,7 @@
             states = await self._inspector.inspect_all(candidates, INSPECT_TIMEOUT)
             incumbent = self._find_incumbent(states, len(candidates))
             if incumbent is not None:
-                return (
-                    None
-                    if incumbent == self._old.primary_id
-                    else _only(states, incumbent)
-                )
+                return incumbent
             overdue = self._board.now() >= end
             replicas = [s for s in states if not self._is_leaving(s.upstream)]
             if not replicas:
@@ -212,11 +208,12 @@
         waits_for = 0 if service is None else service.sync_replicas
         return 1 if waits_for == 0 else max(1, candidates - waits_for + 1)
 
-    def _find_incumbent(self, states: list[Inspected], asked: int) -> str | None:
-        """Return a primary that an earlier leader has already made.
+    def _find_incumbent(self, states: list[Inspected], asked: int) -> Inspected | None:
+        """Return a primary that an earlier leader may have made.
 
         Only if every server has answered: a primary of a later term could be
-        the one that is silent.
+        the one that is silent. One that is not listed any more could be such a
+        primary too, so the promotion is ordered all the same.
         """
         inherited = self._service in self._leadership.inherited_changes
         if not inherited or len(states) < asked:
@@ -225,7 +222,7 @@
         if not primaries:
             return None
         newest = max(primaries, key=lambda s: s.status.term)
-        return None if self._is_leaving(newest.upstream) else newest.upstream.id
+        return None if self._is_leaving(newest.upstream) else newest
 
     def _candidates(self) -> list[Upstream]:
         inherited = self._service in self._leadership.inherited_changes
@@ -253,11 +250,13 @@
         )
         # Longer than any order can take to arrive: when the target still does
         # not lead, no order for it is on its way any more.
-        end = self._board.now() + LEAD_LIMIT
+        ordered_at = self._board.now()
+        end = ordered_at + LEAD_LIMIT
         answered = await self._order(target)
         while self._board.now() < end:
             status = await self._inspector.inspect(target, INSPECT_TIMEOUT)
-            if status is not None and status.is_primary:
+            settled = answered and self._board.now() > ordered_at + PROMOTION_LIMIT
+            if status is not None and _leads(status, chosen.status, settled):
                 return
             if not answered and end - self._board.now() > ORDER_LIMIT:
                 answered = await self._order(target)
@@ -296,10 +295,18 @@
         return self._leadership.set_view(replace(self._old, state=state))
 
 
+def _leads(status: ServerStatus, before: ServerStatus, settled: bool) -> bool:
+    """Return whether a server that was ordered to lead does so.
+
+    One that took itself for primary before may not have noticed that it was
+    replaced, so it has to show a later term. If it keeps its term until the
+    order must have taken effect, it had led all along.
+    """
+    if not status.is_primary:
+        return False
+    return status.term > before.term or (before.is_primary and settled)
+
+
 def _rank(inspected: Inspected) -> tuple[LogPosition, int]:
     status = inspected.status
     return (status.received, inspected.upstream.born)
-
-
-def _only(states: list[Inspected], upstream_id: str) -> Inspected:
-    return next(s for s in states if s.upstream.id == upstream_id)
--- a/src/burdocksail/authority/_claims.py
+++ b/src/burdocksail/authority/_claims.py
@@ -188,7 +188,7 @@
             else:
                 current = decode_record(stored.spec)
                 self._record_seen = True
-                if current.leader == board.member:
+                if self._is_own_unused_claim(current):
                     self._take_claim(stored, asked_at)
                     return
                 if current.epoch > board.authority.epoch and not self._is_dead(current):
@@ -211,6 +211,14 @@
         self._log.info("leadership claimed", epoch=record.epoch, asked_over=asked_over)
         self._take_claim(claimed, asked_at)
 
+    def _is_own_unused_claim(self, record: AuthorityRecord) -> bool:
+        """Return whether this instance has claimed an epoch and not begun it.
+
+        An epoch is begun once, as the numbers of its views start at one.
+        """
+        begun = self._board.authority.epoch
+        return record.leader == self._board.member and record.epoch > begun
+
     def _is_dead(self, record: AuthorityRecord) -> bool:
         """Return whether the recorded leader is an ended run of this instance."""
         return record.leader.address == self._board.member.address
--- a/src/burdocksail/fakes/_servers.py
+++ b/src/burdocksail/fakes/_servers.py
@@ -147,7 +147,7 @@
                 self._let_old_primary_notice(server, now)
             elif not server.deaf:
                 server.term = leading.term
-                server.log = [e for e in leading.log if e.at + server.lag <= now]
+                server.log = _replicate(server, leading, now)
 
     def _let_old_primary_notice(self, server: MemoryServer, now: float) -> None:
         if server.noticed_at is None:
@@ -186,6 +186,14 @@
         return token
 
 
+def _replicate(server: MemoryServer, leading: MemoryServer, now: float) -> list[Entry]:
+    """Return a replica's log; what was applied stays when its lag grows."""
+    pairs = zip(server.log, leading.log, strict=False)
+    shared = sum(1 for own, other in pairs if own == other)
+    due = sum(1 for e in leading.log if e.at + server.lag <= now)
+    return leading.log[: max(shared, due)]
+
+
 class MemoryConnection:
     """One session at a server."""
 
