Watch the fleet and probe primaries from a few instances only

Change: the leader chooses eight monitors, spread over failure domains, which watch and probe; the others get samples and the size of the fleet with their grants and read the fleet's objects again only while they have no evidence. Fleets of nine or fewer work as before.

Ruled out: watching nothing at all but the leader's messages, as an instance whose object was removed would never learn of it.

--- a/src/burdocksail/authority/_follower.py
+++ b/src/burdocksail/authority/_follower.py
@@ -78,10 +78,16 @@
             )
             return
         self.adopt_leader(grant.epoch, grant.leader)
+        if grant.groups is None and authority.generation < grant.generation:
+            return  # It was meant for an earlier run at this address.
         now = board.now()
         authority.last_grant = now
+        authority.is_monitor = grant.monitor
         board.members.alive = max(1, grant.alive)
-        pushed = self.apply_view(grant.epoch, grant.generation, grant.groups)
+        board.members.recorded = grant.registered
+        pushed = grant.groups is not None and self.apply_view(
+            grant.epoch, grant.generation, grant.groups
+        )
         if grant.extends_evidence and grant.echo <= now:
             self.extend_evidence(grant.echo + EVIDENCE_DURATION)
             self._take_samples(grant)
--- a/src/burdocksail/authority/_grantees.py
+++ b/src/burdocksail/authority/_grantees.py
@@ -9,7 +9,7 @@
     RENEWAL_TRANSIT,
     RIGHT_DURATION,
 )
-from burdocksail.board import Member
+from burdocksail.board import MONITORS, Member
 from burdocksail.fleet import Address, Renew
 
 FRESH_RENEWAL = 1.0  # seconds; three renewals
@@ -125,6 +125,30 @@
         limit = now - FRESH_RENEWAL
         return [g for g in self.by_address.values() if g.heard_at >= limit]
 
+    def choose_monitors(
+        self, current: frozenset[Address], now: float
+    ) -> frozenset[Address]:
+        """Return who should watch the fleet, spread over the failure domains.
+
+        Parameters
+        ----------
+        current : frozenset of (str, int)
+            Present choice, of which those that still can are kept.
+        """
+        able = [
+            g.member
+            for g in self.fresh(now)
+            if g.renewal.store_works and not g.renewal.leaving
+        ]
+        able.sort(key=lambda m: (m.address not in current, m.address))
+        turns: dict[str, int] = {}
+        ranked = []
+        for member in able:
+            turn = turns.get(member.failure_domain, 0)
+            turns[member.failure_domain] = turn + 1
+            ranked.append((turn, member.address))
+        return frozenset(address for _, address in sorted(ranked)[:MONITORS])
+
     def find_busy(self, service: str, now: float) -> list[str]:
         """Return the instances with work in flight at a service's primary."""
         return [g.member.name for g in self.fresh(now) if service in g.renewal.busy]
--- a/src/burdocksail/authority/_leadership.py
+++ b/src/burdocksail/authority/_leadership.py
@@ -1,6 +1,7 @@
 """One leadership: its right, its view, its grants, its record in the store."""
 
 import asyncio
+from dataclasses import replace
 
 import structlog
 
@@ -19,11 +20,12 @@
     decode_record,
     encode_record,
 )
-from burdocksail.board import Blackboard, GroupState, GroupView, Member
+from burdocksail.board import MONITORS, Blackboard, GroupState, GroupView, Member
 from burdocksail.core import BurdocksailError
 from burdocksail.fleet import (
     AUTHORITY_NAME,
     INSTANCE_PREFIX,
+    Address,
     Grant,
     Peers,
     Renew,
@@ -89,6 +91,7 @@
         self._generation = 0
         self._confirmed_at = asked_at
         self._last_takeover = float("-inf")
+        self._monitors: frozenset[Address] = frozenset()
         self._log = structlog.get_logger().bind(epoch=self.epoch)
         for service, group in record.groups.items():
             state = GroupState.CLOSED if group.changing else GroupState.OPEN
@@ -136,7 +139,8 @@
         self._follower.apply_view(self.epoch, self._generation, groups)
         grant = self._make_grant(echo=0.0, extends=False)
         for address in sorted(self._addresses()):
-            self._peers.send(address, grant)
+            monitor = self._is_monitor(address)
+            self._peers.send(address, replace(grant, monitor=monitor))
 
     def handle_renewal(self, renewal: Renew) -> None:
         """Answer a renewal with the view, and with evidence if that is safe."""
@@ -146,8 +150,15 @@
         extends = self.has_right and known and renewal.epoch <= self.epoch
         if extends:
             grantee.granted_until = now + EVIDENCE_DURATION
+        grant = self._make_grant(renewal.sent_at, extends)
+        knows = renewal.epoch == self.epoch and renewal.generation >= self._generation
         self._peers.send(
-            renewal.member.address, self._make_grant(renewal.sent_at, extends)
+            renewal.member.address,
+            replace(
+                grant,
+                groups=None if knows else grant.groups,
+                monitor=self._is_monitor(renewal.member.address),
+            ),
         )
 
     def grant_to_self(self) -> None:
@@ -158,7 +169,9 @@
             until = min(board.now() + EVIDENCE_DURATION, right_ends)
             self._follower.extend_evidence(until)
             board.authority.last_grant = board.now()
+        board.authority.is_monitor = True
         board.members.alive = 1 + len(self.grantees.fresh(board.now()))
+        board.members.recorded = len(board.members.registered)
 
     def find_unconfirmed(self, generation: int) -> list[str]:
         """Return who may act on a view older than `generation`."""
@@ -200,6 +213,9 @@
             except (StoreUnavailable, LeadershipLost) as error:
                 self._log.warning("record not confirmed", reason=str(error))
             self._hand_over_if_needed()
+            self._monitors = self.grantees.choose_monitors(
+                self._monitors, self._board.now()
+            )
             await self._remove_silent()
             await asyncio.sleep(CONFIRM_INTERVAL)
 
@@ -334,6 +350,10 @@
         elif board.now() - self._confirmed_at > STORE_PATIENCE:
             self.ask_to_take_over("the store does not answer here")
 
+    def _is_monitor(self, address: Address) -> bool:
+        few = len(self.grantees.by_address) <= MONITORS
+        return few or address in self._monitors
+
     def _registered_addresses(self) -> set[tuple[str, int]]:
         addresses = {m.address for m in self._board.members.registered.values()}
         return addresses - {self._board.member.address}
@@ -370,4 +390,6 @@
             directory_revision=board.directory.revision,
             store_works=board.store.works,
             samples=tuple(samples),
+            registered=len(board.members.registered),
+            monitor=False,
         )
--- a/src/burdocksail/authority/authority_test.py
+++ b/src/burdocksail/authority/authority_test.py
@@ -1,9 +1,12 @@
 """Who leads and who is primary, under the failures that have been met."""
 
 import asyncio
+import contextlib
 import unittest
+from dataclasses import replace
 from unittest import mock
 
+from burdocksail.authority import _grantees, _leadership
 from burdocksail.authority._grantees import Grantees
 from burdocksail.authority._limits import (
     EVIDENCE_DURATION,
@@ -19,7 +22,7 @@
     decode_record,
     encode_record,
 )
-from burdocksail.board import GroupState, Member
+from burdocksail.board import MONITORS, GroupState, Member
 from burdocksail.catalog import ReadPolicy, Service
 from burdocksail.core import Begin, Commit, Refusal, Run, TransactionState
 from burdocksail.fakes import (
@@ -45,6 +48,17 @@
     return Renew(member, 0.0, epoch, generation, 1, 1, True, (), (), (), False)
 
 
+@contextlib.contextmanager
+def few_probes():
+    """Make a small fleet behave like one in which only the leader probes."""
+    with (
+        mock.patch.object(_freshness, "PROBES_PER_SECOND", 0.001),
+        mock.patch.object(_grantees, "MONITORS", 0),
+        mock.patch.object(_leadership, "MONITORS", 0),
+    ):
+        yield
+
+
 class GranteesTest(unittest.TestCase):
     def setUp(self):
         self.own = make_member(1)
@@ -122,6 +136,27 @@
         grantees.take_renewal(make_renewal(make_member(3), 5, 2), 101.0)
         self.assertEqual(grantees.find_unconfirmed(2, set(), 101.0), [])
 
+    def test_monitors_are_spread_over_failure_domains_and_kept(self):
+        grantees = self.make_grantees({})
+        for number in range(40):
+            member = replace(
+                make_member(number), failure_domain=f"domain-{number // 10}"
+            )
+            grantees.take_renewal(make_renewal(member, 5), 100.0)
+        chosen = grantees.choose_monitors(frozenset(), 100.0)
+        self.assertEqual(len(chosen), MONITORS)
+        domains = {
+            grantees.by_address[address].member.failure_domain for address in chosen
+        }
+        self.assertEqual(len(domains), 4)
+        self.assertEqual(grantees.choose_monitors(chosen, 100.5), chosen)
+
+    def test_instance_without_the_store_is_no_monitor(self):
+        grantees = self.make_grantees({})
+        renewal = replace(make_renewal(make_member(3), 5), store_works=False)
+        grantees.take_renewal(renewal, 100.0)
+        self.assertFalse(grantees.choose_monitors(frozenset(), 100.0))
+
 
 class RecordTest(unittest.TestCase):
     def test_round_trip(self):
@@ -334,6 +369,75 @@
 
         self.play(scenario)
 
+    def test_leadership_that_ended_is_not_begun_again_in_its_epoch(self):
+        """Generations would start anew, and old views would confirm new ones."""
+
+        async def scenario(fleet: Fleet) -> None:
+            leader = fleet.leader()
+            epoch = leader.board.authority.epoch
+            leader._authority._leadership.end("ended by the test")
+            await asyncio.sleep(3.0)
+            self.assertGreater(fleet.leader().board.authority.epoch, epoch)
+
+        self.play(scenario)
+
+    def test_stale_primary_serves_only_under_its_new_term(self):
+        """A server that still took itself for primary was opened before it led."""
+
+        async def scenario(fleet: Fleet) -> None:
+            servers = fleet.database.servers
+            servers["server-0"].cut_from = {"*"}
+            await self.time_until_written(fleet, "instance-1")
+            servers["server-1"].crash()
+            servers["server-2"].crash()
+            servers["server-0"].cut_from = set()
+            await self.time_until_written(fleet, "instance-1")
+            self.assertEqual(fleet.database.promotions[-1][2], "server-0")
+            entry = servers["server-0"].log[-1]
+            self.assertEqual(entry.position.term, fleet.database.promotions[-1][3])
+
+        self.play(scenario)
+
+    def test_old_primary_is_not_opened_without_an_order(self):
+        """The server that a dead leader had promoted was gone from the list."""
+
+        async def scenario(fleet: Fleet) -> None:
+            servers = fleet.database.servers
+            leader = fleet.leader().board.member.name
+            servers["server-0"].cut_from = {"*"}
+            while not fleet.database.promotions:
+                await asyncio.sleep(0.002)
+            servers[fleet.database.promotions[0][2]].crash()
+            fleet.kill(leader)
+            # After it could be asked to step down, before servers are asked.
+            await asyncio.sleep(5.5)
+            servers["server-0"].cut_from = set()
+            other = next(iter(fleet.instances))
+            await self.time_until_written(fleet, other)
+            leading = fleet.database.leading(SERVICE)
+            self.assertEqual(leading.log[-1].position.term, leading.term)
+            self.assertEqual(leading.term, fleet.database.promotions[-1][3])
+            self.assertGreater(leading.term, 2)
+
+        self.play(scenario)
+
+    def test_order_that_changes_nothing_ends_the_change(self):
+        """The order of a leader that died had taken effect before."""
+
+        async def scenario(fleet: Fleet) -> None:
+            servers = fleet.database.servers
+            leader = fleet.leader().board.member.name
+            servers["server-0"].crash()
+            while not fleet.database.promotions:
+                await asyncio.sleep(0.002)
+            fleet.kill(leader)
+            servers["server-2"].crash()
+            other = next(iter(fleet.instances))
+            await self.time_until_written(fleet, other)
+            self.assertEqual(len(fleet.database.promotions), 1)
+
+        self.play(scenario)
+
     def test_instance_alone_in_missing_a_primary_is_no_witness(self):
         """In large fleets most instances do not probe, so they do not know."""
 
@@ -344,7 +448,7 @@
             await asyncio.sleep(4.0)
             self.assertEqual(fleet.database.promotions, [])
 
-        with mock.patch.object(_freshness, "PROBES_PER_SECOND", 0.001):
+        with few_probes():
             self.play(scenario)
 
     def test_large_fleet_replaces_a_primary_that_its_callers_miss(self):
@@ -357,7 +461,7 @@
             gap = await self.time_until_written(fleet, "instance-1")
             self.assertLess(gap, 3.0)
 
-        with mock.patch.object(_freshness, "PROBES_PER_SECOND", 0.001):
+        with few_probes():
             self.play(scenario)
 
     def test_full_servers_are_not_taken_for_lost(self):
--- a/src/burdocksail/board/__init__.py
+++ b/src/burdocksail/board/__init__.py
@@ -9,6 +9,7 @@
 )
 from burdocksail.board._blackboard import Blackboard, StopSection
 from burdocksail.board._fleet import (
+    MONITORS,
     CatalogSection,
     DirectorySection,
     Member,
@@ -19,6 +20,7 @@
 from burdocksail.board._signal import Signal
 
 __all__ = [
+    "MONITORS",
     "AuthoritySection",
     "Blackboard",
     "CatalogSection",
--- a/src/burdocksail/board/_authority.py
+++ b/src/burdocksail/board/_authority.py
@@ -57,6 +57,9 @@
         Services at whose primary something has just failed here.
     in_flight : dict of str to int
         Statements and transactions now at the primary, by service.
+    is_monitor : bool
+        Whether the leader wants this instance to watch the fleet's objects and
+        to probe the primaries. In a small fleet all do.
     """
 
     epoch: int = 0
@@ -69,13 +72,18 @@
     reached: dict[str, float] = field(default_factory=dict)
     suspected: set[str] = field(default_factory=set)
     in_flight: dict[str, int] = field(default_factory=dict)
+    is_monitor: bool = False
+
+    def has_evidence(self, now: float) -> bool:
+        """Return whether it is known that no change of primary has begun."""
+        return now < self.evidence_until
 
     def may_start(self, service: str, now: float) -> GroupView | None:
         """Return the view under which work may go to the primary now."""
         view = self.groups.get(service)
         if view is None or view.state is not GroupState.OPEN:
             return None
-        return view if now < self.evidence_until else None
+        return view if self.has_evidence(now) else None
 
     def may_finish(self, started: GroupView, now: float) -> bool:
         """Return whether an answer of work begun under `started` still counts."""
@@ -84,7 +92,7 @@
             view is not None
             and view.change == started.change
             and view.state is not GroupState.CLOSED
-            and now < self.evidence_until
+            and self.has_evidence(now)
         )
 
 
--- a/src/burdocksail/board/_fleet.py
+++ b/src/burdocksail/board/_fleet.py
@@ -6,6 +6,8 @@
 from burdocksail.catalog import Catalog, Upstream
 from burdocksail.ports import StoredObject
 
+# Enough that some are left when a region is lost, and few enough for the store.
+MONITORS = 8  # instances besides the leader
 ASKED_AT_ONCE = 12  # instances; one that knows the answer is among them
 
 
@@ -76,11 +78,18 @@
         Addresses from the settings; may be stale.
     alive : int
         Number of instances that the leader hears from, itself included.
+    recorded : int
+        Number of instances that the store has on record by the leader's account.
     """
 
     registered: dict[str, Member] = field(default_factory=dict)
     seeds: tuple[tuple[str, int], ...] = ()
     alive: int = 1
+    recorded: int = 0
+
+    def count(self) -> int:
+        """Return how many instances may hold connections to upstreams."""
+        return max(1, self.alive, self.recorded or len(self.registered))
 
     def pick_addresses(
         self, own: tuple[str, int], rng: random.Random
--- a/src/burdocksail/fakes/_store.py
+++ b/src/burdocksail/fakes/_store.py
@@ -1,6 +1,7 @@
 """A store in memory, with the ways in which a store lets its callers down."""
 
 import asyncio
+from collections import Counter
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from typing import Any
@@ -79,6 +80,8 @@
         Whether changes are made without an answer.
     hangs : bool
         Whether watches say nothing until their time is over.
+    calls : Counter of Kind
+        Calls so far.
     """
 
     store: MemoryStore
@@ -86,16 +89,17 @@
     hangs: bool = False
     lose_answers: bool = False
     delay: float = ANSWER_DELAY
+    calls: Counter[Kind] = field(default_factory=Counter)
 
     async def list(self, kind: Kind) -> Listing:
         """Return all objects of a kind."""
-        await self._travel()
+        await self._travel(kind)
         items = tuple(o for (k, _), o in self.store.objects.items() if k is kind)
         return Listing(items, self.store.revision)
 
     async def watch(self, kind: Kind, revision: int, wait: float) -> StoreEvents:
         """Return the changes after a revision."""
-        await self._travel()
+        await self._travel(kind)
         loop = asyncio.get_running_loop()
         end = loop.time() + wait
         while True:
@@ -116,14 +120,14 @@
 
     async def read(self, kind: Kind, name: str) -> StoredObject | None:
         """Return one object."""
-        await self._travel()
+        await self._travel(kind)
         return self.store.objects.get((kind, name))
 
     async def create(
         self, kind: Kind, name: str, spec: Mapping[str, Any]
     ) -> StoredObject:
         """Create an object."""
-        await self._travel()
+        await self._travel(kind)
         known = self.store.objects.get((kind, name))
         if known is not None:
             raise StoreConflict("exists", known)
@@ -133,7 +137,7 @@
         self, kind: Kind, name: str, spec: Mapping[str, Any], revision: int | None
     ) -> StoredObject:
         """Replace an object."""
-        await self._travel()
+        await self._travel(kind)
         known = self.store.objects.get((kind, name))
         if known is None or (revision is not None and known.revision != revision):
             raise StoreConflict("another revision", known)
@@ -141,10 +145,11 @@
 
     async def delete(self, kind: Kind, name: str, revision: int) -> None:
         """Remove an object."""
-        await self._travel()
+        await self._travel(kind)
         self.store.remove(kind, name)
 
-    async def _travel(self) -> None:
+    async def _travel(self, kind: Kind) -> None:
+        self.calls[kind] += 1
         await asyncio.sleep(self.delay)
         self._check()
 
--- /dev/null
+++ b/src/burdocksail/fakes/large_fleet_test.py
@@ -0,0 +1,131 @@
+"""Fleets in which only some instances watch and probe."""
+
+import asyncio
+import unittest
+from unittest import mock
+
+from burdocksail.authority import _grantees, _leadership
+from burdocksail.catalog import ReadPolicy
+from burdocksail.core import Run
+from burdocksail.fakes import SERVICE, Fleet, run_virtually, silence_logs
+from burdocksail.fleet import _tracking
+from burdocksail.ports import Kind
+
+INSTANCES = 16
+MONITORS = 3  # few, so that a fleet of this size has the shape of a large one
+WATCHED = 10.0  # seconds
+PRIMARY_CHANGE = 17.0  # seconds; the target for each change of primary
+
+
+def setUpModule():
+    silence_logs()
+
+
+class LargeFleetTest(unittest.TestCase):
+    def play(self, scenario) -> None:
+        async def run() -> None:
+            fleet = Fleet()
+            await fleet.start(INSTANCES)
+            await asyncio.sleep(5.0)
+            try:
+                await scenario(fleet)
+            finally:
+                fleet.stop()
+
+        with (
+            mock.patch.object(_tracking, "MONITORS", MONITORS),
+            mock.patch.object(_grantees, "MONITORS", MONITORS),
+            mock.patch.object(_leadership, "MONITORS", MONITORS),
+        ):
+            run_virtually(run())
+
+    def monitors(self, fleet: Fleet) -> list[str]:
+        return [
+            name
+            for name, instance in fleet.instances.items()
+            if instance.board.authority.is_monitor
+        ]
+
+    async def write(self, fleet: Fleet, name: str) -> bool:
+        session = fleet.session(name, ReadPolicy.PRIMARY)
+        request_id = f"{name}-{asyncio.get_running_loop().time()}"
+        reply = await session.execute(Run(request_id, "WRITE", True))
+        return reply.refusal is None
+
+    async def assert_all_serve(self, fleet: Fleet, within: float) -> None:
+        loop = asyncio.get_running_loop()
+        end = loop.time() + within
+        for name in sorted(fleet.instances):
+            while not await self.write(fleet, name):
+                self.assertLess(loop.time(), end, f"{name} does not serve")
+                await asyncio.sleep(0.05)
+
+    def test_calls_and_probes_do_not_grow_with_the_fleet(self):
+        async def scenario(fleet: Fleet) -> None:
+            monitors = self.monitors(fleet)
+            self.assertEqual(len(monitors), 1 + MONITORS)
+            others = [name for name in fleet.instances if name not in monitors]
+            before = {name: fleet.clients[name].calls[Kind.FLEET] for name in others}
+            fleet.kill(others.pop())
+            await fleet.start_instance(f"instance-{INSTANCES}")
+            await asyncio.sleep(WATCHED)
+            for name in others:
+                self.assertEqual(fleet.clients[name].calls[Kind.FLEET], before[name])
+                samples = fleet.instances[name].board.samples.of(SERVICE)
+                age = fleet.instances[name].board.now() - samples[-1].asked_at
+                self.assertLess(age, 1.0)
+
+        self.play(scenario)
+
+    def test_leader_and_all_monitors_are_lost(self):
+        async def scenario(fleet: Fleet) -> None:
+            for name in self.monitors(fleet):
+                fleet.kill(name)
+            await self.assert_all_serve(fleet, 1.0)
+            await asyncio.sleep(6.0)
+            await self.assert_all_serve(fleet, 1.0)
+            self.assertEqual(len(self.monitors(fleet)), 1 + MONITORS)
+            fleet.database.servers["server-0"].crash()
+            await asyncio.sleep(3.0)
+            await self.assert_all_serve(fleet, 1.0)
+
+        self.play(scenario)
+
+    def test_instance_whose_record_is_gone_registers_again(self):
+        async def scenario(fleet: Fleet) -> None:
+            name = next(n for n in fleet.instances if n not in self.monitors(fleet))
+            stored = next(
+                key
+                for key in fleet.store.objects
+                if key[0] is Kind.FLEET and key[1].startswith(f"instance.{name}.")
+            )
+            fleet.store.remove(*stored)
+            await asyncio.sleep(8.0)
+            self.assertIn(stored, fleet.store.objects)
+            self.assertTrue(await self.write(fleet, name))
+
+        self.play(scenario)
+
+    def test_all_instances_restart(self):
+        async def scenario(fleet: Fleet) -> None:
+            names = sorted(fleet.instances)
+            for name in names:
+                fleet.kill(name)
+            for name in names:
+                await fleet.start_instance(name)
+            await self.assert_all_serve(fleet, 6.0)
+
+        self.play(scenario)
+
+    def test_half_of_the_fleet_is_lost_with_the_primary(self):
+        async def scenario(fleet: Fleet) -> None:
+            for name in sorted(fleet.instances)[::2]:
+                fleet.kill(name)
+            fleet.database.servers["server-0"].crash()
+            await self.assert_all_serve(fleet, PRIMARY_CHANGE)
+
+        self.play(scenario)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/src/burdocksail/fleet/_messages.py
+++ b/src/burdocksail/fleet/_messages.py
@@ -61,11 +61,17 @@
     ----------
     echo : float
         `sent_at` of the renewal that this answers.
-    extends : bool
+    extends_evidence : bool
         Whether it extends the evidence; false if the leader pushed it, or if
         the leader's own right has run out.
+    groups : tuple of GroupView or None
+        None if the receiver's renewal has shown that it knows this generation.
     alive : int
         Number of instances that the leader hears from.
+    registered : int
+        Number of instances that the store has on record.
+    monitor : bool
+        Whether the receiver should watch the fleet and probe primaries.
     """
 
     leader: Member
@@ -73,12 +79,14 @@
     generation: int
     echo: float
     extends_evidence: bool
-    groups: tuple[GroupView, ...]
+    groups: tuple[GroupView, ...] | None
     alive: int
     catalog_version: int
     directory_revision: int
     store_works: bool
     samples: tuple[SharedSample, ...]
+    registered: int
+    monitor: bool
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/burdocksail/fleet/_tracking.py
+++ b/src/burdocksail/fleet/_tracking.py
@@ -6,7 +6,7 @@
 
 import structlog
 
-from burdocksail.board import Blackboard
+from burdocksail.board import MONITORS, Blackboard
 from burdocksail.catalog import Upstream, UpstreamState
 from burdocksail.fleet._registration import PREFIX, decode_member
 from burdocksail.ports import (
@@ -25,6 +25,8 @@
 # peers tell of what has changed.
 WATCH_WAIT = 12.0  # seconds
 RETRY_DELAYS = (0.1, 0.2, 0.4, 0.8)  # seconds, with as much jitter on top
+# While this instance has no evidence, it reads anew who else there is.
+FLEET_REFRESH = 1.5  # seconds, with as much jitter on top
 MISSING_GRACE = 2.5  # seconds; a living server's entry is back within about two
 SWEEP_INTERVAL = 0.25  # seconds
 
@@ -54,6 +56,7 @@
         self._take_authority = take_authority
         self._take_challenge = take_challenge
         self._random = random.Random(board.member.incarnation)
+        self._fleet_due_at = float("-inf")
         self._log = structlog.get_logger()
 
     async def follow_catalog(self) -> None:
@@ -65,8 +68,20 @@
         await self._follow(Kind.UPSTREAMS, self._take_upstreams, self._apply_upstream)
 
     async def follow_fleet(self) -> None:
-        """Follow the instances and the authority's object for ever."""
-        await self._follow(Kind.FLEET, self._take_members, self._apply_fleet)
+        """Follow the instances and the authority's object for ever.
+
+        In a large fleet only the monitors do, as every event costs a call of
+        each watch.
+        """
+        while True:
+            if self._is_fleet_wanted():
+                await self._follow(
+                    Kind.FLEET,
+                    self._take_members,
+                    self._apply_fleet,
+                    self._is_fleet_watched,
+                )
+            await self._board.changed.wait(SWEEP_INTERVAL)
 
     async def sweep_missing(self) -> None:
         """Drop entries that stay missing, for ever."""
@@ -88,10 +103,12 @@
         kind: Kind,
         take_listing: Callable[[Listing], None],
         apply: Callable[..., None],
+        is_watched: Callable[[], bool] = lambda: True,
     ) -> None:
+        """List a kind, and then watch it as long as `is_watched` says so."""
         revision: int | None = None
         failures = 0
-        while True:
+        while revision is None or is_watched():
             try:
                 if revision is None:
                     listing = await self._store.list(kind)
@@ -116,6 +133,20 @@
                 failures = 0
                 self._note_success(kind)
 
+    def _is_fleet_watched(self) -> bool:
+        board = self._board
+        few = len(board.members.registered) <= MONITORS + 1
+        return few or board.authority.is_monitor
+
+    def _is_fleet_wanted(self) -> bool:
+        now = self._board.now()
+        if self._is_fleet_watched():
+            return True
+        if self._board.authority.has_evidence(now) or now < self._fleet_due_at:
+            return False
+        self._fleet_due_at = now + FLEET_REFRESH * (1 + self._random.random())
+        return True
+
     def _note_directory_revision(self, revision: int) -> None:
         directory = self._board.directory
         directory.revision = max(directory.revision, revision)
--- a/src/burdocksail/fleet/fleet.thrift
+++ b/src/burdocksail/fleet/fleet.thrift
@@ -21,9 +21,9 @@
 }
 struct Grant {
   1: Member leader, 2: i64 epoch, 3: i64 generation, 4: double echo,
-  5: bool extends_evidence, 6: list<GroupView> groups, 7: i64 alive,
+  5: bool extends_evidence, 6: optional list<GroupView> groups, 7: i64 alive,
   8: i64 catalog_version, 9: i64 directory_revision, 10: bool store_works,
-  11: list<SharedSample> samples
+  11: list<SharedSample> samples, 12: i64 registered, 13: bool monitor
 }
 struct NotLeader { 1: Member member, 2: i64 epoch, 3: optional Member leader }
 struct LeaderQuery { 1: Member member, 2: i64 epoch }
--- a/src/burdocksail/serving/_freshness.py
+++ b/src/burdocksail/serving/_freshness.py
@@ -13,6 +13,8 @@
 from burdocksail.serving._pools import NoConnection, Pools
 
 SAMPLE_INTERVAL = 0.4  # seconds; several within the shortest usual age
+# Instances that are no monitors have the leader's samples unless grants stay away.
+SPARE_INTERVAL = 0.9  # seconds
 PROBES_PER_SECOND = 40  # of one primary by the whole fleet; a few percent of a core
 PROBE_TIMEOUT = 0.4  # seconds; an order of magnitude above a round trip
 PROBE_PRIORITY = -1  # a probe takes no slot and is over in a round trip
@@ -142,9 +144,11 @@
         if service in authority.unreachable or service in authority.suspected:
             return True
         samples = self._board.samples.of(view.service_name)
-        interval = SAMPLE_INTERVAL
-        if authority.leader != self._board.member:
-            interval = max(interval, self._board.members.alive / PROBES_PER_SECOND)
+        if authority.is_monitor:
+            interval = SAMPLE_INTERVAL
+        else:
+            fleet_interval = self._board.members.alive / PROBES_PER_SECOND
+            interval = max(SPARE_INTERVAL, fleet_interval)
         return not samples or now - samples[-1].asked_at >= interval
 
     def _start(self, view: GroupView) -> None:
--- a/src/burdocksail/serving/_pools.py
+++ b/src/burdocksail/serving/_pools.py
@@ -267,8 +267,7 @@
         )
         if service is None:
             return MIN_CONNECTIONS
-        members = self._board.members
-        instances = max(1, members.alive, len(members.registered))
+        instances = self._board.members.count()
         return (service.max_connections - RESERVED_CONNECTIONS) / instances
 
     def _capacity(self) -> int:
