--- a/src/burdocksail/fakes/_store.py
+++ b/src/burdocksail/fakes/_store.py
@@ -19,6 +19,7 @@
 )
 
 ANSWER_DELAY = 0.004  # seconds
+STALENESS = 3.0  # seconds that a watch which need not be exact is behind
 
 
 @dataclass(frozen=True, slots=True)
@@ -97,7 +98,9 @@
         items = tuple(o for (k, _), o in self.store.objects.items() if k is kind)
         return Listing(items, self.store.revision)
 
-    async def watch(self, kind: Kind, revision: int, wait: float) -> StoreEvents:
+    async def watch(
+        self, kind: Kind, revision: int, wait: float, exact: bool = True
+    ) -> StoreEvents:
         """Return the changes after a revision."""
         await self._travel(kind)
         loop = asyncio.get_running_loop()
@@ -114,7 +117,10 @@
                 if c.revision > revision and c.kind is kind
             )
             if events or loop.time() >= end:
-                return StoreEvents(events, self.store.revision)
+                result = StoreEvents(events, self.store.revision)
+                if events and not exact:
+                    await asyncio.sleep(STALENESS)
+                return result
             await self.store.changed.wait(min(0.2, end - loop.time()))
             self._check()
 
--- a/src/burdocksail/fleet/_tracking.py
+++ b/src/burdocksail/fleet/_tracking.py
@@ -21,9 +21,10 @@
 
 AUTHORITY_NAME = "authority"
 CHALLENGE_PREFIX = "challenge."
-# Every watch is a priced call. One that hangs is noticed after this; until then
-# peers tell of what has changed.
-WATCH_WAIT = 12.0  # seconds
+# Every watch is a priced call. While one hangs, peers tell of what has changed.
+WATCH_WAIT = 25.0  # seconds
+# Instances register in bursts, and each event that is awaited alone is a call.
+FLEET_PAUSE = 0.3  # seconds between watches of the fleet's objects
 RETRY_DELAYS = (0.1, 0.2, 0.4, 0.8)  # seconds, with as much jitter on top
 # While this instance has no evidence, it reads anew who else there is.
 FLEET_REFRESH = 1.5  # seconds, with as much jitter on top
@@ -79,7 +80,8 @@
                     Kind.FLEET,
                     self._take_members,
                     self._apply_fleet,
-                    self._is_fleet_watched,
+                    self._is_monitor,
+                    FLEET_PAUSE,
                 )
             await self._board.changed.wait(SWEEP_INTERVAL)
 
@@ -104,8 +106,15 @@
         take_listing: Callable[[Listing], None],
         apply: Callable[..., None],
         is_watched: Callable[[], bool] = lambda: True,
+        pause: float = 0.0,
     ) -> None:
-        """List a kind, and then watch it as long as `is_watched` says so."""
+        """List a kind, and then watch it as long as `is_watched` says so.
+
+        Parameters
+        ----------
+        pause : float
+            Seconds between watches, in which events gather.
+        """
         revision: int | None = None
         failures = 0
         while revision is None or is_watched():
@@ -115,7 +124,8 @@
                     take_listing(listing)
                     revision = listing.revision
                 else:
-                    events = await self._store.watch(kind, revision, WATCH_WAIT)
+                    exact = kind is not Kind.UPSTREAMS or self._is_monitor()
+                    events = await self._store.watch(kind, revision, WATCH_WAIT, exact)
                     for event in events.events:
                         apply(event.object, removed=event.removed)
                     revision = max(revision, events.revision)
@@ -132,15 +142,17 @@
             else:
                 failures = 0
                 self._note_success(kind)
+                await asyncio.sleep(pause)
 
-    def _is_fleet_watched(self) -> bool:
+    def _is_monitor(self) -> bool:
+        """Return whether this instance is one of those that peers learn from."""
         board = self._board
-        few = len(board.members.registered) <= MONITORS + 1
+        few = board.members.count() <= MONITORS + 1
         return few or board.authority.is_monitor
 
     def _is_fleet_wanted(self) -> bool:
         now = self._board.now()
-        if self._is_fleet_watched():
+        if self._is_monitor():
             return True
         if self._board.authority.has_evidence(now) or now < self._fleet_due_at:
             return False
@@ -200,6 +212,9 @@
 
     def _apply_upstream(self, stored: StoredObject, removed: bool) -> None:
         directory = self._board.directory
+        known = directory.stored.get(stored.name)
+        if known is not None and stored.revision < known.revision:
+            return  # A peer has told of a later change.
         upstream = None if removed else self._translator.decode_upstream(stored)
         if upstream is None:
             directory.stored.pop(stored.name, None)
--- a/src/burdocksail/ports/_store.py
+++ b/src/burdocksail/ports/_store.py
@@ -65,9 +65,17 @@
         """Return all objects of a kind."""
         ...
 
-    async def watch(self, kind: Kind, revision: int, wait: float) -> StoreEvents:
+    async def watch(
+        self, kind: Kind, revision: int, wait: float, exact: bool = True
+    ) -> StoreEvents:
         """Return the changes after `revision`, within `wait` seconds.
 
+        Parameters
+        ----------
+        exact : bool
+            Whether every change must be told of at once; the store may otherwise
+            be some seconds behind, which is cheaper for it.
+
         Raises
         ------
         HistoryLost
