Keep connections in a server's own region, and ask a full server again soon

And after a server had been full, its pool opened nothing for 1 s and did not try again by itself, so writes in that second were refused one by one.

Change: the instances of a replica's region, which send it most of its reads, keep one connection each as long as they need no more than 0.6 of what the server takes; at a primary, idle ones of its region close after 0.7 s. After a full server the pause is 0.15 to 0.3 s and ends by a timer.

The test of the full primary failed on the code before.

--- a/src/burdocksail/board/_authority.py
+++ b/src/burdocksail/board/_authority.py
@@ -74,6 +74,10 @@
     in_flight: dict[str, int] = field(default_factory=dict)
     is_monitor: bool = False
 
+    def primaries(self) -> set[str]:
+        """Return the identities of all primaries."""
+        return {view.primary_id for view in self.groups.values()}
+
     def has_evidence(self, now: float) -> bool:
         """Return whether it is known that no change of primary has begun."""
         return now < self.evidence_until
--- a/src/burdocksail/serving/_pools.py
+++ b/src/burdocksail/serving/_pools.py
@@ -3,6 +3,7 @@
 import asyncio
 import heapq
 import itertools
+import random
 from dataclasses import dataclass, field
 
 import structlog
@@ -16,20 +17,12 @@
     TooManyConnections,
     UpstreamConnection,
 )
+from burdocksail.serving._budget import find_budget
 
 CONNECT_TIMEOUT = 1.0  # seconds; several round trips across regions and a handshake
-RESERVED_CONNECTIONS = 2  # of each server, for questions about its state
-# Instances use their shares unevenly; a server refuses what is too much.
-SHARE_FACTOR = 1.5
-MIN_CONNECTIONS = 2
-LIMITED_PAUSE = 1.0  # seconds without new connections after a server refused one
+LIMITED_PAUSE = 0.15  # seconds, with as much jitter on top, after a server was full
 FAILED_PAUSE = 0.1  # seconds without new connections after one failed
-# Servers keep the connections of an instance that lost power for seconds, so the
-# fleet should need no more than half of what they take.
-SURPLUS_SHARE = 0.5
-SURPLUS_IDLE = 3.0  # seconds until an idle connection beyond that share closes
-# Where there are fewer connections than instances, they have to take turns.
-SCARCE_IDLE = 0.15  # seconds
+RETRY_SLACK = 0.002  # seconds by which a timer may be early against the clock
 LATENCY_WEIGHT = 0.1  # of the newest sample in the moving average
 
 
@@ -112,6 +105,7 @@
         self._pause_until = float("-inf")
         self._tasks: set[asyncio.Task] = set()
         self._closed = False
+        self._random = random.Random(f"{board.member.incarnation}/{upstream.id}")
         self._log = structlog.get_logger()
 
     @property
@@ -173,13 +167,11 @@
         self.release(connection)
 
     def close_surplus(self) -> None:
-        """Close what has been idle beyond half of this instance's fair share."""
-        share = self._find_share()
-        scarce = share < 1.0
-        limit = self._board.now() - (SCARCE_IDLE if scarce else SURPLUS_IDLE)
+        """Close what has been idle beyond this instance's budget."""
+        budget = find_budget(self._board, self.upstream)
+        limit = self._board.now() - budget.idle_limit
         self._idle = [c for c in self._idle if c.is_open]
-        kept = 0.0 if scarce else max(1.0, share * SURPLUS_SHARE)
-        while self.size > kept and self._idle:
+        while self.size > budget.kept and self._idle:
             if self._idle[0].idle_since > limit:
                 return
             self._idle.pop(0).close()
@@ -211,9 +203,10 @@
 
     def _open_if_wanted(self) -> None:
         waiting = sum(1 for *_, waiter in self._waiters if not waiter.done())
+        capacity = find_budget(self._board, self.upstream).capacity
         while (
             waiting > self._opening
-            and self.size < self._capacity()
+            and self.size < capacity
             and self._board.now() >= self._pause_until
             and not self._closed
         ):
@@ -229,8 +222,7 @@
         except ConnectionRefused as error:
             self._opening -= 1
             limited = isinstance(error, TooManyConnections)
-            pause = LIMITED_PAUSE if limited else FAILED_PAUSE
-            self._pause_until = board.now() + pause
+            self._pause(limited)
             self._failure = str(error) or type(error).__name__
             self._limited = limited
             board.metrics.count("connections_failed")
@@ -253,26 +245,21 @@
         else:
             self._hand_out(connection)
 
+    def _pause(self, limited: bool) -> None:
+        """Open nothing for a moment, and then what is wanted still."""
+        pause = FAILED_PAUSE
+        if limited:
+            pause = LIMITED_PAUSE * (1 + self._random.random())
+        self._pause_until = self._board.now() + pause
+        loop = asyncio.get_running_loop()
+        loop.call_later(pause + RETRY_SLACK, self._open_if_wanted)
+
     def _fail_waiters(self, reason: str, unreachable: bool = False) -> None:
         waiters, self._waiters = self._waiters, []
         for _, _, waiter in waiters:
             if not waiter.done():
                 waiter.set_result(NoConnection(reason, unreachable))
 
-    def _find_share(self) -> float:
-        """Return how many connections each instance could have."""
-        catalog = self._board.catalog.catalog
-        service = (
-            None if catalog is None else catalog.services.get(self.upstream.service)
-        )
-        if service is None:
-            return MIN_CONNECTIONS
-        instances = self._board.members.count()
-        return (service.max_connections - RESERVED_CONNECTIONS) / instances
-
-    def _capacity(self) -> int:
-        return int(max(MIN_CONNECTIONS, self._find_share()) * SHARE_FACTOR)
-
 
 class Pools:
     """The pools of all upstreams that take work."""
--- a/src/burdocksail/serving/serving_test.py
+++ b/src/burdocksail/serving/serving_test.py
@@ -161,6 +161,23 @@
 
         self.play(scenario, instances=3)
 
+    def test_write_waits_for_a_connection_of_a_full_primary(self):
+        """It was refused although one got free long before its time was over."""
+
+        async def scenario(fleet: Fleet) -> None:
+            primary = fleet.database.servers["server-0"]
+            primary.max_connections = 0
+            for connection in list(primary.connections):
+                connection.close()
+            session = fleet.session("instance-1", ReadPolicy.PRIMARY)
+            write = asyncio.create_task(session.execute(Run("w", "WRITE", True)))
+            await asyncio.sleep(0.1)
+            primary.max_connections = 60
+            reply = await write
+            self.assertIsNone(reply.refusal)
+
+        self.play(scenario)
+
     def test_group_that_never_opens_does_not_hold_the_processor(self):
         """A statement was tried again without a pause, for ever."""
 
