--- a/src/burdocksail/fleet/_codec.py
+++ b/src/burdocksail/fleet/_codec.py
@@ -10,13 +10,13 @@
 from burdocksail.core import BurdocksailError
 from burdocksail.fleet._messages import Message
 from burdocksail.ports import StoredObject
-from burdocksail.structs import StructCodec
+from burdocksail.structs import EnvelopeCodec, StructCodec, StructError
 
 with as_file(files("burdocksail.fleet") / "fleet.thrift") as idl_path:
     _idl = thriftpy2.load(str(idl_path), module_name="burdocksail_fleet_thrift")
 
 _codec = StructCodec(_idl)
-_MESSAGE_TYPES: dict[str, type] = {t.__name__: t for t in typing.get_args(Message)}
+_envelopes = EnvelopeCodec(_codec, _idl, Message)
 
 
 class MessageError(BurdocksailError):
@@ -34,8 +34,7 @@
 
 def encode_message(message: Message) -> bytes:
     """Return the datagram of a message."""
-    name = type(message).__name__
-    return _codec.write(_idl.Envelope(**{name: _codec.encode(message)}))
+    return _envelopes.encode(message)
 
 
 def decode_message(payload: bytes) -> Message:
@@ -47,17 +46,9 @@
         If the datagram is not exactly one well-formed message.
     """
     try:
-        envelope = _codec.read(_idl.Envelope(), payload)
-        present = [n for n in _MESSAGE_TYPES if getattr(envelope, n) is not None]
-        if len(present) != 1:
-            raise MessageError(f"an envelope holds {len(present)} messages")
-        name = present[0]
-        return _codec.decode(_MESSAGE_TYPES[name], getattr(envelope, name))
-    except MessageError:
-        raise
-    except Exception as error:
-        # The codec raises many kinds of errors on malformed input.
-        raise MessageError(f"malformed message: {type(error).__name__}") from error
+        return _envelopes.decode(payload)
+    except StructError as error:
+        raise MessageError(str(error)) from error
 
 
 def encode_snapshot(snapshot: Snapshot) -> bytes:
--- /dev/null
+++ b/src/burdocksail/structs/_envelope.py
@@ -0,0 +1,54 @@
+"""Messages of several types in one envelope, of which one field is set."""
+
+import typing
+from typing import Any
+
+from burdocksail.structs._codec import StructCodec, StructError
+
+
+class EnvelopeCodec:
+    """Converts the messages of a union to bytes and back.
+
+    Parameters
+    ----------
+    idl : module
+        Loaded thrift definitions; ``Envelope`` has an optional field for each
+        message type, by its name.
+    messages : union of types
+        Dataclasses of the messages.
+    """
+
+    def __init__(self, codec: StructCodec, idl: Any, messages: Any):
+        self._codec = codec
+        self._idl = idl
+        self._types: dict[str, type] = {
+            t.__name__: t for t in typing.get_args(messages)
+        }
+
+    def encode(self, message: Any) -> bytes:
+        """Return the bytes of a message."""
+        name = type(message).__name__
+        envelope = self._idl.Envelope(**{name: self._codec.encode(message)})
+        return self._codec.write(envelope)
+
+    def decode(self, payload: bytes) -> Any:
+        """Return the message in `payload`.
+
+        Raises
+        ------
+        StructError
+            If the payload is not exactly one well-formed message.
+        """
+        try:
+            envelope = self._codec.read(self._idl.Envelope(), payload)
+            present = [n for n in self._types if getattr(envelope, n) is not None]
+            if len(present) != 1:
+                raise StructError(f"an envelope holds {len(present)} messages")
+            name = present[0]
+            return self._codec.decode(self._types[name], getattr(envelope, name))
+        except StructError:
+            raise
+        except Exception as error:
+            # The codec raises many kinds of errors on malformed input.
+            reason = f"malformed message: {type(error).__name__}"
+            raise StructError(reason) from error
--- a/src/burdocksail/wire/_codec.py
+++ b/src/burdocksail/wire/_codec.py
@@ -1,6 +1,5 @@
 """Messages and the first frame of a connection as thrift bytes."""
 
-import typing
 from collections.abc import Sequence
 from importlib.resources import as_file, files
 
@@ -8,7 +7,12 @@
 
 from burdocksail.core import Instance, ResultSet
 from burdocksail.node import Message
-from burdocksail.structs import FieldCodec, StructCodec
+from burdocksail.structs import (
+    EnvelopeCodec,
+    FieldCodec,
+    StructCodec,
+    StructError,
+)
 from burdocksail.wire._errors import WireError
 
 PROTOCOL_VERSION = 1
@@ -42,15 +46,12 @@
 
 _ROWS = FieldCodec(_encode_rows, _decode_rows)
 _codec = StructCodec(_idl, {(ResultSet, "rows"): _ROWS})
-
-_MESSAGE_TYPES: dict[str, type] = {t.__name__: t for t in typing.get_args(Message)}
+_envelopes = EnvelopeCodec(_codec, _idl, Message)
 
 
 def encode_message(message: Message) -> bytes:
     """Return the payload of a message."""
-    name = type(message).__name__
-    envelope = _idl.Envelope(**{name: _codec.encode(message)})
-    return _codec.write(envelope)
+    return _envelopes.encode(message)
 
 
 def decode_message(payload: bytes) -> Message:
@@ -62,17 +63,9 @@
         If the payload is not exactly one well-formed message.
     """
     try:
-        envelope = _codec.read(_idl.Envelope(), payload)
-        present = [n for n in _MESSAGE_TYPES if getattr(envelope, n) is not None]
-        if len(present) != 1:
-            raise WireError(f"an envelope holds {len(present)} messages")
-        name = present[0]
-        return _codec.decode(_MESSAGE_TYPES[name], getattr(envelope, name))
-    except WireError:
-        raise
-    except Exception as error:
-        # The codec raises many kinds of errors on malformed input.
-        raise WireError(f"malformed message: {type(error).__name__}") from error
+        return _envelopes.decode(payload)
+    except StructError as error:
+        raise WireError(str(error)) from error
 
 
 def encode_hello(sender: Instance, nonce: bytes) -> bytes:
