Tell a caller whose idle transaction was ended that it was aborted

Cause: the next statement after the end got MALFORMED, which promises nothing, though nothing of the transaction is kept and it may be begun anew at once. The test fails on the code before.

--- a/src/burdocksail/serving/_sessions.py
+++ b/src/burdocksail/serving/_sessions.py
@@ -32,6 +32,7 @@
         self._values = SessionValues()
         self._transaction: Transaction | None = None
         self._failed = False
+        self._ended_because = ""
 
     @property
     def state(self) -> TransactionState:
@@ -48,7 +49,7 @@
         started = board.now()
         try:
             if self._failed and not isinstance(command, Commit | Rollback):
-                raise Failure(Refusal.MALFORMED, "the transaction has failed")
+                raise self._explain_failed_transaction()
             reply = await self._run(command)
         except Failure as failure:
             reply = self._refuse(command, failure)
@@ -65,6 +66,7 @@
             )
             await self._leave_transaction()
             self._failed = True
+            self._ended_because = reason
 
     async def close(self) -> None:
         """End the session; an open transaction rolls back."""
@@ -108,12 +110,14 @@
     async def _(self, command: Rollback) -> CallerReply:
         await self._leave_transaction()
         self._failed = False
+        self._ended_because = ""
         return CallerReply(self.state)
 
     @_run.register
     async def _(self, command: Commit) -> CallerReply:
         if self._failed:
             self._failed = False
+            self._ended_because = ""
             raise Failure(Refusal.ABORTED, "the transaction was rolled back")
         transaction = self._transaction
         if transaction is None:
@@ -172,6 +176,17 @@
             ends_session=failure.refusal is Refusal.UNKNOWN_DATABASE,
         )
 
+    def _explain_failed_transaction(self) -> Failure:
+        """Return the answer to a statement of a transaction that has failed.
+
+        A caller whose transaction was ended here does not know it yet, and may
+        safely begin it anew.
+        """
+        reason, self._ended_because = self._ended_because, ""
+        if reason:
+            return Failure(Refusal.ABORTED, reason, retry_after=0.0)
+        return Failure(Refusal.MALFORMED, "the transaction has failed")
+
     def _find_route(self) -> Route:
         route = self._serving.find_route(self.database)
         if route is None:
--- a/src/burdocksail/serving/serving_test.py
+++ b/src/burdocksail/serving/serving_test.py
@@ -202,6 +202,23 @@
 
         self.play(scenario)
 
+    def test_caller_of_an_ended_transaction_is_told_that_it_was_aborted(self):
+        async def scenario(fleet: Fleet) -> None:
+            session = fleet.session("instance-0", ReadPolicy.PRIMARY)
+            await session.execute(Begin("b", read_only=False))
+            await session.execute(Run("w", "WRITE", True))
+            await session.end_idle_transaction("idle for too long")
+            reply = await session.execute(Run("w2", "WRITE", True))
+            self.assertIs(reply.refusal, Refusal.ABORTED)
+            self.assertIs(reply.state, TransactionState.FAILED)
+            reply = await session.execute(Run("w3", "WRITE", True))
+            self.assertIs(reply.refusal, Refusal.MALFORMED)
+            reply = await session.execute(Rollback("r"))
+            self.assertIs(reply.state, TransactionState.IDLE)
+            self.assertEqual(fleet.database.leading(SERVICE).log, [])
+
+        self.play(scenario)
+
     def test_failed_transaction_takes_nothing_but_its_end(self):
         async def scenario(fleet: Fleet) -> None:
             session = fleet.session("instance-1", ReadPolicy.PRIMARY)
