Do not claim over a leader that was found while the record was read

Every displaced leader has to be waited for. Meanwhile the instances that do not reach the store tried to claim each 1.6 s, the first ones all from one region.

Change: a claim compares the record with the epoch followed when the need was found; failed claims pause for up to 2.4 s with jitter; the order of claimants is drawn anew for each epoch, over all failure domains.

--- a/src/burdocksail/authority/_claims.py
+++ b/src/burdocksail/authority/_claims.py
@@ -3,11 +3,12 @@
 import asyncio
 import contextlib
 import random
+import zlib
 from collections.abc import Callable
 
 import structlog
 
-from burdocksail.authority._limits import LEADER_SILENCE, RENEW_INTERVAL
+from burdocksail.authority._limits import LEADER_SILENCE
 from burdocksail.authority._record import (
     AuthorityRecord,
     GroupRecord,
@@ -34,6 +35,7 @@
 
 POLL_INTERVAL = 0.1  # seconds
 REPORT_WAIT = 0.2  # seconds; several round trips across regions
+RETRY_DELAYS = (0.3, 0.6, 1.2, 2.4)  # seconds, with as much jitter on top
 RANK_DELAY = 0.15  # seconds between instances that would claim together
 LONELY_SILENCE = 2.5  # seconds of silence of everybody before asking by the store
 CHALLENGE_WAIT = 1.5  # seconds for a leader to answer by the store
@@ -66,6 +68,7 @@
         self._is_leading = is_leading
         self._reports: dict[str, bool] = {}
         self._asked_over = False
+        self._failures = 0
         self._record_seen = False
         self._started_at = board.now()
         self._challenged_at = float("-inf")
@@ -116,10 +119,16 @@
         return self._board.now() - (self._started_at if last is None else last)
 
     def _rank(self) -> int:
-        """Return this instance's place among those that could claim."""
-        names = sorted(m.name for m in self._board.members.registered.values())
+        """Return this instance's place among those that could claim.
+
+        The order differs between epochs and mixes the failure domains, so that
+        the loss of one does not take all of the first.
+        """
+        epoch = self._board.authority.epoch
+        names = {m.name for m in self._board.members.registered.values()}
+        order = sorted(names, key=lambda name: zlib.crc32(f"{epoch}/{name}".encode()))
         own = self._board.member.name
-        return names.index(own) if own in names else len(names)
+        return order.index(own) if own in names else len(names)
 
     async def _do_peers_agree(self, silence: float) -> bool:
         """Return whether nobody else hears from the leader either."""
@@ -178,6 +187,7 @@
         board = self._board
         asked_over, self._asked_over = self._asked_over, False
         asked_at = board.now()
+        followed = board.authority.epoch
         try:
             stored = await self._store.read(Kind.FLEET, AUTHORITY_NAME)
             if stored is None:
@@ -191,7 +201,7 @@
                 if self._is_own_unused_claim(current):
                     self._take_claim(stored, asked_at)
                     return
-                if current.epoch > board.authority.epoch and not self._is_dead(current):
+                if current.epoch > followed and not self._is_dead(current):
                     self._follow(current)
                     return
                 record = current.claimed_by(board.member)
@@ -206,8 +216,11 @@
             return
         except StoreUnavailable as error:
             self._log.warning("claim not written", reason=str(error))
-            await asyncio.sleep(RENEW_INTERVAL)
+            pause = RETRY_DELAYS[min(self._failures, len(RETRY_DELAYS) - 1)]
+            self._failures += 1
+            await asyncio.sleep(pause * (1 + self._random.random()))
             return
+        self._failures = 0
         self._log.info("leadership claimed", epoch=record.epoch, asked_over=asked_over)
         self._take_claim(claimed, asked_at)
 
@@ -226,6 +239,8 @@
     def _follow(self, record: AuthorityRecord) -> None:
         authority = self._board.authority
         authority.last_grant = self._board.now()
+        if record.epoch <= authority.epoch:
+            return  # Its messages were faster than the store.
         self._log.info("leader found", epoch=record.epoch, leader=record.leader.name)
         authority.epoch = record.epoch
         authority.leader = record.leader
--- a/src/burdocksail/authority/authority_test.py
+++ b/src/burdocksail/authority/authority_test.py
@@ -369,6 +369,17 @@
 
         self.play(scenario)
 
+    def test_slow_claim_does_not_displace_a_leader_found_meanwhile(self):
+        async def scenario(fleet: Fleet) -> None:
+            fleet.clients["instance-2"].delay = 0.1
+            for name in ("instance-1", "instance-2"):
+                fleet.instances[name]._authority._claimant.request()
+            await asyncio.sleep(2.0)
+            self.assertEqual(fleet.leader().board.member.name, "instance-1")
+            self.assertEqual(fleet.leader().board.authority.epoch, 2)
+
+        self.play(scenario)
+
     def test_leadership_that_ended_is_not_begun_again_in_its_epoch(self):
         """Generations would start anew, and old views would confirm new ones."""
 
