Wait for a lost replica that may hold the last commits; prefer urgent work

Mend: upstreams that go without notice are remembered; where commits wait for replicas, those lost in the last 10 s count among the servers that have to answer before a change goes on.

Statements of lower priority ask full servers less often (three and five times the pause), as such a server takes whoever asks next. Inside of a transaction a retry waits for its pause, no longer for any news.

--- a/src/burdocksail/authority/_change.py
+++ b/src/burdocksail/authority/_change.py
@@ -33,6 +33,8 @@
 CATCH_UP_LIMIT = 1.0  # seconds for a replica to receive the old primary's last
 SETTLE_INTERVAL = 0.06  # seconds; commits on their way to replicas arrive
 LEAD_LIMIT = ORDER_LIMIT + 2.0  # seconds from the order until the server must lead
+# A replica that was lost may be the only one with the last commits.
+LOST_PATIENCE = 10.0  # seconds; a change has to end within 17
 PROMOTION_LIMIT = 3.0  # seconds; an answered order takes some hundred milliseconds
 POLL_INTERVAL = 0.04  # seconds
 
@@ -206,7 +208,12 @@
         catalog = self._board.catalog.catalog
         service = None if catalog is None else catalog.services.get(self._service)
         waits_for = 0 if service is None else service.sync_replicas
-        return 1 if waits_for == 0 else max(1, candidates - waits_for + 1)
+        if waits_for == 0:
+            return 1
+        after = self._board.now() - LOST_PATIENCE
+        lost = self._board.directory.lost_of_service(self._service, after)
+        known = candidates + len([u for u in lost if u != self._old.primary_id])
+        return max(1, known - waits_for + 1)
 
     def _find_incumbent(self, states: list[Inspected], asked: int) -> Inspected | None:
         """Return a primary that an earlier leader may have made.
--- a/src/burdocksail/authority/authority_test.py
+++ b/src/burdocksail/authority/authority_test.py
@@ -361,7 +361,7 @@
             await asyncio.sleep(0.5)
             servers["server-2"].cut_from = {"*"}
             servers["server-0"].crash()
-            await asyncio.sleep(2.0)
+            await asyncio.sleep(6.0)  # longer than a change without it takes
             self.assertEqual(fleet.database.promotions, [])
             servers["server-2"].cut_from = set()
             await self.time_until_written(fleet, "instance-1")
--- a/src/burdocksail/board/_fleet.py
+++ b/src/burdocksail/board/_fleet.py
@@ -42,6 +42,14 @@
     stored: StoredObject | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class LostUpstream:
+    """An upstream that has gone without notice, and when it was dropped."""
+
+    service: str
+    since: float
+
+
 @dataclass(slots=True)
 class DirectorySection:
     """Upstreams that have described themselves; written by ``fleet._tracking``.
@@ -54,17 +62,29 @@
     missing_since : dict of str to float
         Entries that the store has dropped, and when this was seen. They stay in
         use for a moment, as an entry may lapse while its server lives.
+    lost : dict of str to LostUpstream
+        Upstreams that went without notice; they may hold commits that no other
+        has.
     """
 
     upstreams: dict[str, Upstream] = field(default_factory=dict)
     stored: dict[str, StoredObject] = field(default_factory=dict)
     revision: int = 0
     missing_since: dict[str, float] = field(default_factory=dict)
+    lost: dict[str, LostUpstream] = field(default_factory=dict)
 
     def of_service(self, service: str) -> list[Upstream]:
         """Return the known upstreams of a service."""
         return [u for u in self.upstreams.values() if u.service == service]
 
+    def lost_of_service(self, service: str, after: float) -> list[str]:
+        """Return the upstreams of a service that were lost after an instant."""
+        return [
+            upstream_id
+            for upstream_id, lost in self.lost.items()
+            if lost.service == service and lost.since > after
+        ]
+
 
 @dataclass(slots=True)
 class MembersSection:
--- a/src/burdocksail/fleet/_tracking.py
+++ b/src/burdocksail/fleet/_tracking.py
@@ -6,7 +6,7 @@
 
 import structlog
 
-from burdocksail.board import MONITORS, Blackboard
+from burdocksail.board import MONITORS, Blackboard, LostUpstream
 from burdocksail.catalog import Upstream, UpstreamState
 from burdocksail.fleet._registration import PREFIX, decode_member
 from burdocksail.ports import (
@@ -29,6 +29,7 @@
 # While this instance has no evidence, it reads anew who else there is.
 FLEET_REFRESH = 1.5  # seconds, with as much jitter on top
 MISSING_GRACE = 2.5  # seconds; a living server's entry is back within about two
+LOST_KEPT = 60.0  # seconds; a change of primary looks back for less
 SWEEP_INTERVAL = 0.25  # seconds
 
 
@@ -222,6 +223,7 @@
             return
         directory.stored[stored.name] = stored
         directory.missing_since.pop(upstream.id, None)
+        directory.lost.pop(upstream.id, None)
         previous = directory.upstreams.get(upstream.id)
         directory.upstreams[upstream.id] = upstream
         if previous is None or _differs(previous, upstream):
@@ -250,8 +252,19 @@
         limit = self._board.now() - MISSING_GRACE
         missing = self._board.directory.missing_since
         for upstream_id in [u for u, since in missing.items() if since < limit]:
+            self._note_lost(upstream_id)
             self._drop(upstream_id)
 
+    def _note_lost(self, upstream_id: str) -> None:
+        directory = self._board.directory
+        now = self._board.now()
+        upstream = directory.upstreams[upstream_id]
+        directory.lost[upstream_id] = LostUpstream(upstream.service, now)
+        for forgotten in [
+            u for u, lost in directory.lost.items() if lost.since < now - LOST_KEPT
+        ]:
+            del directory.lost[forgotten]
+
     def _drop(self, upstream_id: str) -> None:
         self._board.directory.missing_since.pop(upstream_id, None)
         self._board.directory.upstreams.pop(upstream_id, None)
--- a/src/burdocksail/serving/_statements.py
+++ b/src/burdocksail/serving/_statements.py
@@ -22,6 +22,8 @@
 EVIDENCE_SHARE = 0.2  # of the target latency, to wait for evidence to return
 
 BUSY_PAUSE = 0.015  # seconds; about the work of one short statement
+# A full server takes whoever asks next, so who asks more often goes first.
+PAUSE_FACTORS = (1, 1, 3, 5)  # by priority, the last for all lower ones
 AVOID_BUSY = 0.04  # seconds
 AVOID_BROKEN = 0.5  # seconds
 AVOID_LAGGING = 0.15  # seconds; a usual replica catches up within this
@@ -345,4 +347,9 @@
             raise Failure(Refusal.TIMEOUT, work.last_problem)
         raise Failure(Refusal.BUSY, work.last_problem, retry_after=RETRY_AFTER)
     if work.tries > 1:
-        await asyncio.sleep(BUSY_PAUSE)
+        await asyncio.sleep(find_retry_pause(work.route.priority))
+
+
+def find_retry_pause(priority: int) -> float:
+    """Return the seconds between tries of a statement at full servers."""
+    return BUSY_PAUSE * PAUSE_FACTORS[min(priority, len(PAUSE_FACTORS) - 1)]
--- a/src/burdocksail/serving/_transactions.py
+++ b/src/burdocksail/serving/_transactions.py
@@ -1,5 +1,6 @@
 """Transactions: begun with their first statement, bound to one connection."""
 
+import asyncio
 from dataclasses import dataclass
 
 from burdocksail.board import GroupView
@@ -106,7 +107,7 @@
                 raise _abort(f"{reply.status.value} {reply.message}")
             if self._board.now() + BUSY_PAUSE >= deadline:
                 raise _abort("the server stays busy")
-            await self._board.changed.wait(BUSY_PAUSE)
+            await asyncio.sleep(BUSY_PAUSE)
 
     async def commit(self, command: Commit) -> Reply:
         """Commit and return the server's answer.
@@ -125,7 +126,7 @@
             reply = await self._commit_once(binding, command, deadline)
             if reply is not None:
                 return reply
-            await self._board.changed.wait(BUSY_PAUSE)
+            await asyncio.sleep(BUSY_PAUSE)
 
     async def roll_back(self) -> None:
         """End the transaction without a commit and give the connection back."""
