--- /dev/null
+++ b/src/burdocksail/authority/change_test.py
@@ -0,0 +1,199 @@
+"""Changes of primary, under the failures that have been met."""
+
+import asyncio
+import contextlib
+import unittest
+from unittest import mock
+
+from burdocksail.authority import _grantees, _leadership
+from burdocksail.catalog import ReadPolicy, Service
+from burdocksail.core import Begin, Commit, Refusal, Run, TransactionState
+from burdocksail.fakes import (
+    SERVICE,
+    Fleet,
+    make_catalog,
+    play_fleet,
+    silence_logs,
+    time_until_written,
+)
+from burdocksail.serving import _freshness
+
+
+def setUpModule():
+    silence_logs()
+
+
+@contextlib.contextmanager
+def few_probes():
+    """Make a small fleet behave like one in which only the leader probes."""
+    with (
+        mock.patch.object(_freshness, "PROBES_PER_SECOND", 0.001),
+        mock.patch.object(_grantees, "MONITORS", 0),
+        mock.patch.object(_leadership, "MONITORS", 0),
+    ):
+        yield
+
+
+class ChangeTest(unittest.TestCase):
+    def test_crashed_primary_is_replaced(self):
+        async def scenario(fleet: Fleet) -> None:
+            fleet.database.servers["server-0"].crash()
+            gap = await time_until_written(fleet, "instance-1")
+            self.assertLess(gap, 3.0)
+            self.assertEqual(len(fleet.database.promotions), 1)
+
+        play_fleet(scenario)
+
+    def test_commits_that_waited_for_a_replica_survive(self):
+        async def scenario(fleet: Fleet) -> None:
+            catalog = make_catalog(9)
+            catalog.services[SERVICE] = Service(SERVICE, 60, sync_replicas=1)
+            fleet.publish(catalog)
+            servers = fleet.database.servers
+            servers["server-1"].deaf = True
+            await time_until_written(fleet, "instance-1")
+            await asyncio.sleep(0.5)
+            servers["server-2"].cut_from = {"*"}
+            servers["server-0"].crash()
+            await asyncio.sleep(6.0)  # longer than a change without it takes
+            self.assertEqual(fleet.database.promotions, [])
+            servers["server-2"].cut_from = set()
+            await time_until_written(fleet, "instance-1")
+            self.assertEqual(fleet.database.promotions[0][2], "server-2")
+
+        play_fleet(scenario)
+
+    def test_stale_primary_serves_only_under_its_new_term(self):
+        """A server that still took itself for primary was opened before it led."""
+
+        async def scenario(fleet: Fleet) -> None:
+            servers = fleet.database.servers
+            servers["server-0"].cut_from = {"*"}
+            await time_until_written(fleet, "instance-1")
+            servers["server-1"].crash()
+            servers["server-2"].crash()
+            servers["server-0"].cut_from = set()
+            await time_until_written(fleet, "instance-1")
+            self.assertEqual(fleet.database.promotions[-1][2], "server-0")
+            entry = servers["server-0"].log[-1]
+            self.assertEqual(entry.position.term, fleet.database.promotions[-1][3])
+
+        play_fleet(scenario)
+
+    def test_old_primary_is_not_opened_without_an_order(self):
+        """The server that a dead leader had promoted was gone from the list."""
+
+        async def scenario(fleet: Fleet) -> None:
+            servers = fleet.database.servers
+            leader = fleet.leader().board.member.name
+            servers["server-0"].cut_from = {"*"}
+            while not fleet.database.promotions:
+                await asyncio.sleep(0.002)
+            servers[fleet.database.promotions[0][2]].crash()
+            fleet.kill(leader)
+            # After it could be asked to step down, before servers are asked.
+            await asyncio.sleep(5.5)
+            servers["server-0"].cut_from = set()
+            other = next(iter(fleet.instances))
+            await time_until_written(fleet, other)
+            leading = fleet.database.leading(SERVICE)
+            self.assertEqual(leading.log[-1].position.term, leading.term)
+            self.assertEqual(leading.term, fleet.database.promotions[-1][3])
+            self.assertGreater(leading.term, 2)
+
+        play_fleet(scenario)
+
+    def test_order_that_changes_nothing_ends_the_change(self):
+        """The order of a leader that died had taken effect before."""
+
+        async def scenario(fleet: Fleet) -> None:
+            servers = fleet.database.servers
+            leader = fleet.leader().board.member.name
+            servers["server-0"].crash()
+            while not fleet.database.promotions:
+                await asyncio.sleep(0.002)
+            fleet.kill(leader)
+            servers["server-2"].crash()
+            other = next(iter(fleet.instances))
+            await time_until_written(fleet, other)
+            self.assertEqual(len(fleet.database.promotions), 1)
+
+        play_fleet(scenario)
+
+    def test_instance_alone_in_missing_a_primary_is_no_witness(self):
+        """In large fleets most instances do not probe, so they do not know."""
+
+        async def scenario(fleet: Fleet) -> None:
+            await asyncio.sleep(3.0)
+            server = fleet.database.servers["server-0"]
+            server.cut_from = {fleet.leader().board.member.name}
+            await asyncio.sleep(4.0)
+            self.assertEqual(fleet.database.promotions, [])
+
+        with few_probes():
+            play_fleet(scenario)
+
+    def test_large_fleet_replaces_a_primary_that_its_callers_miss(self):
+        async def scenario(fleet: Fleet) -> None:
+            await asyncio.sleep(3.0)
+            fleet.database.servers["server-0"].crash()
+            for name in fleet.instances:
+                session = fleet.session(name, ReadPolicy.PRIMARY)
+                await session.execute(Run(f"first-{name}", "WRITE", True))
+            gap = await time_until_written(fleet, "instance-1")
+            self.assertLess(gap, 3.0)
+
+        with few_probes():
+            play_fleet(scenario)
+
+    def test_full_servers_are_not_taken_for_lost(self):
+        async def scenario(fleet: Fleet) -> None:
+            primary = fleet.database.servers["server-0"]
+            primary.max_connections = 0
+            for connection in list(primary.connections):
+                connection.close()
+            await asyncio.sleep(5.0)
+            self.assertEqual(fleet.database.promotions, [])
+
+        play_fleet(scenario)
+
+    def test_leaving_primary_hands_over_and_loses_nothing(self):
+        async def scenario(fleet: Fleet) -> None:
+            session = fleet.session("instance-1", ReadPolicy.PRIMARY)
+            for number in range(20):
+                await session.execute(Run(f"w{number}", "WRITE", True))
+            fleet.draining.add("server-0")
+            await asyncio.sleep(4.0)
+            self.assertEqual(len(fleet.database.promotions), 1)
+            leading = fleet.database.leading(SERVICE)
+            self.assertNotEqual(leading.upstream_id, "server-0")
+            self.assertEqual(len(leading.log), 20)
+
+        play_fleet(scenario)
+
+    def test_transaction_open_at_a_change_is_aborted_truly(self):
+        async def scenario(fleet: Fleet) -> None:
+            session = fleet.session("instance-1", ReadPolicy.PRIMARY)
+            await session.execute(Begin("b", read_only=False))
+            await session.execute(Run("w", "WRITE", True))
+            fleet.draining.add("server-0")
+            await asyncio.sleep(4.0)
+            reply = await session.execute(Commit("c"))
+            self.assertIs(reply.refusal, Refusal.ABORTED)
+            self.assertIs(session.state, TransactionState.IDLE)
+            self.assertEqual(fleet.database.leading(SERVICE).log, [])
+
+        play_fleet(scenario)
+
+    def test_lost_order_is_sent_again_for_the_same_server(self):
+        async def scenario(fleet: Fleet) -> None:
+            fleet.database.lose_orders = True
+            fleet.database.servers["server-0"].crash()
+            await time_until_written(fleet, "instance-1")
+            self.assertEqual(len({p[2] for p in fleet.database.promotions}), 1)
+
+        play_fleet(scenario)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/src/burdocksail/authority/leadership_test.py
@@ -0,0 +1,205 @@
+"""Who leads, under the failures that have been met."""
+
+import asyncio
+import unittest
+
+from burdocksail.authority._limits import EVIDENCE_DURATION, RIGHT_DURATION
+from burdocksail.board import GroupState
+from burdocksail.catalog import ReadPolicy
+from burdocksail.core import Refusal, Run
+from burdocksail.fakes import (
+    SERVICE,
+    Fleet,
+    play_fleet,
+    silence_logs,
+    time_until_written,
+)
+
+
+def setUpModule():
+    silence_logs()
+
+
+class LeadershipTest(unittest.TestCase):
+    def test_dead_leader_stops_no_write(self):
+        async def scenario(fleet: Fleet) -> None:
+            fleet.kill(fleet.leader().board.member.name)
+            refused = 0
+            for _ in range(100):
+                session = fleet.session("instance-1", ReadPolicy.PRIMARY)
+                reply = await session.execute(Run(f"w{_}", "WRITE", True))
+                refused += reply.refusal is not None
+                await asyncio.sleep(0.05)
+            self.assertEqual(refused, 0)
+            self.assertEqual(fleet.database.promotions, [])
+
+        play_fleet(scenario)
+
+    def test_full_restart_serves_at_once(self):
+        """A leader waited 12 s for grants of its own earlier run."""
+
+        async def scenario(fleet: Fleet) -> None:
+            for name in list(fleet.instances):
+                fleet.kill(name)
+            await asyncio.sleep(1.0)
+            for name in list(fleet.clients):
+                await fleet.start_instance(name)
+            fleet.database.servers["server-0"].crash()
+            gap = await time_until_written(fleet, "instance-1")
+            self.assertLess(gap, 6.0)
+
+        play_fleet(scenario)
+
+    def test_leader_gone_for_good_is_settled_by_the_others(self):
+        async def scenario(fleet: Fleet) -> None:
+            await asyncio.sleep(2.0)
+            fleet.kill(fleet.leader().board.member.name)
+            await asyncio.sleep(2.0)
+            fleet.database.servers["server-0"].crash()
+            gap = await time_until_written(fleet, "instance-1")
+            self.assertLess(gap, 6.5)
+
+        play_fleet(scenario)
+
+    def test_store_outage_stops_nothing_for_the_leaders_right(self):
+        async def scenario(fleet: Fleet) -> None:
+            for client in fleet.clients.values():
+                client.down = True
+            await asyncio.sleep(RIGHT_DURATION - 2.0)
+            gap = await time_until_written(fleet, "instance-2")
+            self.assertLess(gap, 0.1)
+
+        play_fleet(scenario)
+
+    def test_instance_cut_off_from_the_leader_stops_writing(self):
+        async def scenario(fleet: Fleet) -> None:
+            await asyncio.sleep(1.0)
+            fleet.network.isolate(fleet.host("instance-2"), fleet.hosts())
+            await asyncio.sleep(EVIDENCE_DURATION + 0.5)
+            session = fleet.session("instance-2", ReadPolicy.PRIMARY)
+            reply = await session.execute(Run("w", "WRITE", True))
+            self.assertIs(reply.refusal, Refusal.BUSY)
+            self.assertIsNotNone(reply.retry_after)
+            gap = await time_until_written(fleet, "instance-1")
+            self.assertLess(gap, 0.1)
+
+        play_fleet(scenario)
+
+    def test_instance_cut_off_from_all_others_takes_no_leadership(self):
+        """It reached the store, claimed, and took everybody's evidence away."""
+
+        async def scenario(fleet: Fleet) -> None:
+            await asyncio.sleep(1.0)
+            epoch = fleet.leader().board.authority.epoch
+            fleet.network.isolate(fleet.host("instance-2"), fleet.hosts())
+            await asyncio.sleep(12.0)
+            self.assertEqual(fleet.leader().board.authority.epoch, epoch)
+
+        play_fleet(scenario)
+
+    def test_last_instance_leads_alone(self):
+        async def scenario(fleet: Fleet) -> None:
+            await asyncio.sleep(1.0)
+            for name in ("instance-0", "instance-1"):
+                fleet.kill(name)
+            await asyncio.sleep(6.0)
+            gap = await time_until_written(fleet, "instance-2")
+            self.assertLess(gap, 0.5)
+
+        play_fleet(scenario)
+
+    def test_leader_cut_off_with_the_store_promotes_nobody(self):
+        """Incident: it alone missed the primary, which the others still reached."""
+
+        async def scenario(fleet: Fleet) -> None:
+            await asyncio.sleep(1.0)
+            name = fleet.leader().board.member.name
+            fleet.network.isolate(fleet.host(name), fleet.hosts())
+            fleet.database.servers["server-0"].cut_from = {name, "server-1", "server-2"}
+            for other, client in fleet.clients.items():
+                client.down = other != name
+            await asyncio.sleep(5.0)
+            self.assertEqual(fleet.database.promotions, [])
+            fleet.network.heal()
+            fleet.database.servers["server-0"].cut_from = set()
+            for client in fleet.clients.values():
+                client.down = False
+            await asyncio.sleep(6.0)
+            self.assertEqual(fleet.database.promotions, [])
+
+        play_fleet(scenario)
+
+    def test_half_of_the_fleet_with_the_store_waits_for_the_other_half(self):
+        """It closed the group when the cut healed, for a change that came too late."""
+
+        async def scenario(fleet: Fleet) -> None:
+            await fleet.start_instance("instance-3")
+            await asyncio.sleep(2.0)
+            here = ["instance-2", "instance-3"]
+            for name in here:
+                others = [fleet.host(n) for n in ("instance-0", "instance-1")]
+                fleet.network.isolate(fleet.host(name), others)
+            primary = fleet.database.servers["server-0"]
+            primary.cut_from = {*here, "server-1", "server-2"}
+            for name in ("instance-0", "instance-1"):
+                fleet.clients[name].down = True
+            fleet.silent.add("server-0")
+            await asyncio.sleep(9.0)
+            fleet.network.heal()
+            primary.cut_from = set()
+            for client in fleet.clients.values():
+                client.down = False
+            await asyncio.sleep(1.0)
+            fleet.silent.clear()
+            await asyncio.sleep(8.0)
+            self.assertEqual(fleet.database.promotions, [])
+
+        play_fleet(scenario)
+
+    def test_slow_claim_does_not_displace_a_leader_found_meanwhile(self):
+        async def scenario(fleet: Fleet) -> None:
+            fleet.clients["instance-2"].delay = 0.1
+            for name in ("instance-1", "instance-2"):
+                fleet.instances[name]._authority._claimant.request()
+            await asyncio.sleep(2.0)
+            self.assertEqual(fleet.leader().board.member.name, "instance-1")
+            self.assertEqual(fleet.leader().board.authority.epoch, 2)
+
+        play_fleet(scenario)
+
+    def test_leadership_that_ended_is_not_begun_again_in_its_epoch(self):
+        """Generations would start anew, and old views would confirm new ones."""
+
+        async def scenario(fleet: Fleet) -> None:
+            leader = fleet.leader()
+            epoch = leader.board.authority.epoch
+            leader._authority._leadership.end("ended by the test")
+            await asyncio.sleep(3.0)
+            self.assertGreater(fleet.leader().board.authority.epoch, epoch)
+
+        play_fleet(scenario)
+
+    def test_lost_answer_to_a_claim_still_makes_a_leader(self):
+        async def scenario(fleet: Fleet) -> None:
+            for client in fleet.clients.values():
+                client.lose_answers = True
+            fleet.kill(fleet.leader().board.member.name)
+            await asyncio.sleep(4.0)
+            self.assertIsNotNone(fleet.leader())
+
+        play_fleet(scenario)
+
+    def test_views_follow_one_epoch(self):
+        async def scenario(fleet: Fleet) -> None:
+            await asyncio.sleep(1.0)
+            epochs = {i.board.authority.epoch for i in fleet.instances.values()}
+            self.assertEqual(len(epochs), 1)
+            for instance in fleet.instances.values():
+                view = instance.board.authority.groups[SERVICE]
+                self.assertIs(view.state, GroupState.OPEN)
+
+        play_fleet(scenario)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/src/burdocksail/fakes/__init__.py
+++ b/src/burdocksail/fakes/__init__.py
@@ -1,6 +1,7 @@
 """What surrounds the instances, in memory, for tests that take no time."""
 
 from burdocksail.fakes._fleet import SERVICE, Fleet, make_catalog
+from burdocksail.fakes._playing import play_fleet, time_until_written, write
 from burdocksail.fakes._servers import MemoryConnector, MemoryDatabase, MemoryServer
 from burdocksail.fakes._store import MemoryStore, MemoryStoreClient
 from burdocksail.fakes._virtual_loop import (
@@ -21,6 +22,9 @@
     "MemoryStoreClient",
     "VirtualLoop",
     "make_catalog",
+    "play_fleet",
     "run_virtually",
     "silence_logs",
+    "time_until_written",
+    "write",
 ]
--- a/src/burdocksail/fakes/large_fleet_test.py
+++ b/src/burdocksail/fakes/large_fleet_test.py
@@ -5,9 +5,7 @@
 from unittest import mock
 
 from burdocksail.authority import _grantees, _leadership
-from burdocksail.catalog import ReadPolicy
-from burdocksail.core import Run
-from burdocksail.fakes import SERVICE, Fleet, run_virtually, silence_logs
+from burdocksail.fakes import SERVICE, Fleet, play_fleet, silence_logs, write
 from burdocksail.fleet import _tracking
 from burdocksail.ports import Kind
 
@@ -23,21 +21,12 @@
 
 class LargeFleetTest(unittest.TestCase):
     def play(self, scenario) -> None:
-        async def run() -> None:
-            fleet = Fleet()
-            await fleet.start(INSTANCES)
-            await asyncio.sleep(5.0)
-            try:
-                await scenario(fleet)
-            finally:
-                fleet.stop()
-
         with (
             mock.patch.object(_tracking, "MONITORS", MONITORS),
             mock.patch.object(_grantees, "MONITORS", MONITORS),
             mock.patch.object(_leadership, "MONITORS", MONITORS),
         ):
-            run_virtually(run())
+            play_fleet(scenario, INSTANCES, settled=5.0)
 
     def monitors(self, fleet: Fleet) -> list[str]:
         return [
@@ -46,17 +35,11 @@
             if instance.board.authority.is_monitor
         ]
 
-    async def write(self, fleet: Fleet, name: str) -> bool:
-        session = fleet.session(name, ReadPolicy.PRIMARY)
-        request_id = f"{name}-{asyncio.get_running_loop().time()}"
-        reply = await session.execute(Run(request_id, "WRITE", True))
-        return reply.refusal is None
-
     async def assert_all_serve(self, fleet: Fleet, within: float) -> None:
         loop = asyncio.get_running_loop()
         end = loop.time() + within
         for name in sorted(fleet.instances):
-            while not await self.write(fleet, name):
+            while not await write(fleet, name):
                 self.assertLess(loop.time(), end, f"{name} does not serve")
                 await asyncio.sleep(0.05)
 
@@ -102,7 +85,7 @@
             fleet.store.remove(*stored)
             await asyncio.sleep(8.0)
             self.assertIn(stored, fleet.store.objects)
-            self.assertTrue(await self.write(fleet, name))
+            self.assertTrue(await write(fleet, name))
 
         self.play(scenario)
 
--- a/src/burdocksail/serving/serving_test.py
+++ b/src/burdocksail/serving/serving_test.py
@@ -23,6 +23,7 @@
     SERVICE,
     Fleet,
     make_catalog,
+    play_fleet,
     run_virtually,
     silence_logs,
 )
@@ -36,15 +37,7 @@
 
 class ServingTest(unittest.TestCase):
     def play(self, scenario, instances: int = 2) -> None:
-        async def run() -> None:
-            fleet = Fleet()
-            await fleet.start(instances)
-            try:
-                await scenario(fleet)
-            finally:
-                fleet.stop()
-
-        run_virtually(run())
+        play_fleet(scenario, instances)
 
     def test_values_of_sessions_never_mix(self):
         async def scenario(fleet: Fleet) -> None:
