--- a/src/burdocksail/serving/_sessions.py
+++ b/src/burdocksail/serving/_sessions.py
@@ -22,6 +22,8 @@
 from burdocksail.serving._statements import Work, run_read, run_write
 from burdocksail.serving._transactions import Transaction
 
+IDLE_TIMEOUT = 3.0  # seconds of an idle transaction, without a configuration
+
 
 class CallerSession:
     """One caller's session; its commands come one after the other."""
@@ -58,6 +60,14 @@
         board.metrics.record("command", board.now() - started)
         return reply
 
+    def find_idle_limit(self) -> float:
+        """Return after how many idle seconds an open transaction is ended."""
+        board = self._serving.board
+        catalog = board.catalog.catalog
+        until_stop = board.stop.transactions_end_at - board.now()
+        idle = IDLE_TIMEOUT if catalog is None else catalog.transaction_idle_timeout
+        return max(0.0, min(idle, until_stop))
+
     async def end_idle_transaction(self, reason: str) -> None:
         """Roll back a transaction that its caller has left idle."""
         if self._transaction is not None:
