--- a/src/burdocksail/serving/_statements.py
+++ b/src/burdocksail/serving/_statements.py
@@ -5,7 +5,7 @@
 
 from burdocksail.board import Blackboard, GroupState, GroupView
 from burdocksail.catalog import Route
-from burdocksail.core import Commit, ExecutePrepared, Refusal, Run
+from burdocksail.core import Commit, ExecutePrepared, LogPosition, Refusal, Run
 from burdocksail.ports import Reply, Status, UpstreamLost
 from burdocksail.serving._context import Serving, SessionValues
 from burdocksail.serving._exchange import exchange
@@ -43,6 +43,7 @@
     tries: int = 0
     offered: bool = False
     last_problem: str = "no server is known"
+    floor: LogPosition | None = None
     tried: set[str] = field(default_factory=set)
 
     def __post_init__(self) -> None:
@@ -170,6 +171,7 @@
         pool.release(connection)
         return None
     timeout = _limit_try(work)
+    work.floor = None if floor is None else floor.position
     work.offered = True
     asked_at = board.now()
     try:
@@ -180,7 +182,7 @@
             work.values,
             work.command,
             timeout,
-            None if floor is None else floor.position,
+            work.floor,
         )
     except UpstreamLost as error:
         note_problem(work, pool, "server lost", str(error), AVOID_BROKEN)
@@ -227,6 +229,7 @@
             "read answered",
             work.command.request_id,
             upstream=pool.upstream.id,
+            floor=describe_position(work.floor),
             tries=work.tries,
             took_ms=round((work.board.now() - work.arrived_at) * 1000, 1),
         )
@@ -335,11 +338,17 @@
         work.command.request_id,
         upstream=pool.upstream.id,
         problem=work.last_problem,
+        floor=describe_position(work.floor),
         tries=work.tries,
         age_ms=round((work.board.now() - work.arrived_at) * 1000, 1),
     )
 
 
+def describe_position(position: LogPosition | None) -> str | None:
+    """Return a position as the logs show it."""
+    return None if position is None else f"{position.term}.{position.sequence}"
+
+
 async def pause_before_retry(work: Work) -> None:
     """Wait a moment; refuse when the time to look for a server is over."""
     if work.board.now() >= work.offer_until:
