--- a/src/burdocksail/serving/_pools.py
+++ b/src/burdocksail/serving/_pools.py
@@ -23,9 +23,6 @@
 LIMITED_PAUSE = 0.15  # seconds, with as much jitter on top, after a server was full
 FAILED_PAUSE = 0.1  # seconds without new connections after one failed
 RETRY_SLACK = 0.002  # seconds by which a timer may be early against the clock
-AVOID_LAGGING = 0.15  # seconds; a usual replica catches up within this
-LAGGING_DOUBLINGS = 3  # up to 1.2 s; then it is asked again whether it has caught up
-FAR_BEHIND = 3  # floors in a row; one may be a session's commit of just now
 LATENCY_WEIGHT = 0.1  # of the newest sample in the moving average
 
 
@@ -84,22 +81,6 @@
     in_flight: int = 0
     avoid_until: float = float("-inf")
     lagging_until: float = float("-inf")
-    lagged_in_row: int = 0
-
-    def note_lagging(self, now: float) -> None:
-        """Note that the server's log did not cover a floor."""
-        pause = AVOID_LAGGING * 2 ** min(self.lagged_in_row, LAGGING_DOUBLINGS)
-        self.lagging_until = now + pause
-        self.lagged_in_row += 1
-
-    def note_covered(self) -> None:
-        """Note that the server's log covered a floor."""
-        self.lagged_in_row = 0
-
-    @property
-    def is_far_behind(self) -> bool:
-        """Return whether the server has covered none of the last floors."""
-        return self.lagged_in_row >= FAR_BEHIND
 
     def note_latency(self, seconds: float) -> None:
         """Add an answer's latency to the moving average."""
--- a/src/burdocksail/serving/_routing.py
+++ b/src/burdocksail/serving/_routing.py
@@ -13,8 +13,6 @@
 OTHER_REGION = 0.03
 
 LAGGING_COST = 0.05  # seconds; a replica behind the floor mostly refuses
-# Further than any server, but sooner than one that breaks.
-FAR_BEHIND_COST = 0.25  # seconds
 AVOIDED_COST = 0.5  # seconds; a server that just refused or broke comes last
 # Writes have only the primary, so reads go elsewhere unless that costs much.
 PRIMARY_COST = 0.01  # seconds
@@ -74,5 +72,5 @@
     if now < statistics.avoid_until:
         cost += AVOIDED_COST
     if now < statistics.lagging_until:
-        cost += FAR_BEHIND_COST if statistics.is_far_behind else LAGGING_COST
+        cost += LAGGING_COST
     return cost
--- a/src/burdocksail/serving/_statements.py
+++ b/src/burdocksail/serving/_statements.py
@@ -26,6 +26,7 @@
 PAUSE_FACTORS = (1, 1, 3, 5)  # by priority, the last for all lower ones
 AVOID_BUSY = 0.04  # seconds
 AVOID_BROKEN = 0.5  # seconds
+AVOID_LAGGING = 0.15  # seconds; a usual replica catches up within this
 MIN_TIMEOUT = 0.02  # seconds
 RETRY_AFTER = 0.2  # seconds, told to callers whose request has not run
 
@@ -224,8 +225,6 @@
 
 def _judge_read(work: Work, pool: Pool, reply: Reply) -> Reply | None:
     if reply.status is Status.DONE:
-        if work.floor is not None:
-            pool.statistics.note_covered()
         work.serving.decisions.write(
             "read answered",
             work.command.request_id,
@@ -236,7 +235,7 @@
         )
         return reply
     if reply.status is Status.LAGGING:
-        pool.statistics.note_lagging(work.board.now())
+        pool.statistics.lagging_until = work.board.now() + AVOID_LAGGING
     note_problem(work, pool, reply.status.value, reply.message, AVOID_BUSY)
     if reply.status is Status.MALFORMED:
         raise Failure(Refusal.MALFORMED, reply.message)
--- a/src/burdocksail/serving/_transactions.py
+++ b/src/burdocksail/serving/_transactions.py
@@ -24,6 +24,7 @@
 from burdocksail.serving._statements import (
     AVOID_BROKEN,
     AVOID_BUSY,
+    AVOID_LAGGING,
     BUSY_PAUSE,
     MIN_TIMEOUT,
     RETRY_AFTER,
@@ -191,13 +192,11 @@
         if view is not None:
             note_position(board, view, asked_at, reply.position)
         if reply.status is Status.DONE:
-            if floor is not None:
-                pool.statistics.note_covered()
             return binding
         self._detach()
         pool.release(connection)
         if reply.status is Status.LAGGING:
-            pool.statistics.note_lagging(board.now())
+            pool.statistics.lagging_until = board.now() + AVOID_LAGGING
         note_problem(work, pool, reply.status.value, reply.message, AVOID_BUSY)
         return None
 
