Log the timeline of the store and what is ignored as older

The logs could not tell the hypotheses on a restored store apart: nothing said that the store had been restored, and entries and configurations that were ignored as older left no line. The store client now keeps the number that the store sends with every answer; `store timeline` says that it rose, and `earlier entry ignored` and `earlier configuration ignored` name both versions. No decision has changed.

--- a/src/burdocksail/board/_fleet.py
+++ b/src/burdocksail/board/_fleet.py
@@ -152,10 +152,13 @@
     failing_since : float or None
         Clock reading at the first failed list or watch since then; None if none has
         failed since.
+    timeline : int
+        Latest timeline of the store that this instance knows of.
     """
 
     last_success: float | None = None
     failing_since: float | None = None
+    timeline: int = 0
 
     @property
     def is_available(self) -> bool:
--- a/src/burdocksail/catalog/_records.py
+++ b/src/burdocksail/catalog/_records.py
@@ -143,6 +143,8 @@
     started_at_ms : int
         Unix time of its start, in milliseconds; differs between two runs of a
         server with the same `id`.
+    sequence : int
+        Counter of its reports since that start.
     """
 
     id: str
@@ -154,3 +156,4 @@
     state: UpstreamState
     role: UpstreamRole
     started_at_ms: int
+    sequence: int = 0
--- a/src/burdocksail/fakes/_store.py
+++ b/src/burdocksail/fakes/_store.py
@@ -20,6 +20,7 @@
     StoreEvent,
     StoreEvents,
     StoreUnavailable,
+    StoreVersion,
 )
 
 ANSWER_DELAY = 0.004  # seconds
@@ -110,12 +111,13 @@
     lose_answers: bool = False
     delay: float = ANSWER_DELAY
     calls: Counter[ObjectKind] = field(default_factory=Counter)
+    timeline: int = 0
 
     async def list(self, kind: ObjectKind) -> Listing:
         """Return all objects of a kind and the current revision."""
         await self._begin_call(kind)
         items = tuple(o for (k, _), o in self.store.objects.items() if k is kind)
-        return Listing(items, self.store.revision)
+        return Listing(items, StoreVersion(0, self.store.revision))
 
     async def watch(
         self, kind: ObjectKind, revision: int, wait: float, consistent: bool = True
@@ -144,7 +146,7 @@
                 if c.revision > revision and c.kind is kind
             )
             if events or loop.time() >= end:
-                result = StoreEvents(events, self.store.revision)
+                result = StoreEvents(events, StoreVersion(0, self.store.revision))
                 if events and not consistent:
                     await asyncio.sleep(STALENESS)
                 return result
--- a/src/burdocksail/fleet/_tracking.py
+++ b/src/burdocksail/fleet/_tracking.py
@@ -17,6 +17,7 @@
     ObjectStore,
     StoredObject,
     StoreUnavailable,
+    StoreVersion,
 )
 
 AUTHORITY_NAME = "authority"
@@ -111,7 +112,7 @@
     def adopt_upstreams(self, items: tuple[StoredObject, ...], revision: int) -> None:
         """Apply a peer's list of entries if it is newer than the known one."""
         if revision > self._board.directory.revision:
-            self._apply_upstream_list(Listing(items, revision))
+            self._apply_upstream_list(Listing(items, StoreVersion(0, revision)))
 
     def adopt_catalog(self, stored: StoredObject) -> None:
         """Apply a peer's configuration if it is newer than the one in force."""
@@ -140,7 +141,7 @@
                 if revision is None:
                     listing = await self._store.list(kind)
                     apply_listing(listing)
-                    revision = listing.revision
+                    revision = listing.version.revision
                 else:
                     # Peers learn of changes from the instances that watch the
                     # fleet's objects. The others accept entries of upstreams that
@@ -153,7 +154,7 @@
                     )
                     for event in events.events:
                         apply_object(event.object, removed=event.removed)
-                    revision = max(revision, events.revision)
+                    revision = max(revision, events.version.revision)
                     if kind is ObjectKind.UPSTREAMS and events.events:
                         self._advance_directory_revision(revision)
             except HistoryLost:
@@ -168,6 +169,8 @@
                 failures = 0
                 self._record_success(kind)
                 await asyncio.sleep(pause)
+            finally:
+                self._record_timeline()
 
     def _should_watch_fleet(self) -> bool:
         """Return whether this instance watches the fleet's objects.
@@ -194,6 +197,17 @@
         directory = self._board.directory
         directory.revision = max(directory.revision, revision)
 
+    def _record_timeline(self) -> None:
+        """Record that an answer has shown that the store was restored."""
+        section = self._board.store
+        if self._store.timeline > section.timeline:
+            self._log.info(
+                "store timeline",
+                timeline=self._store.timeline,
+                previous=section.timeline,
+            )
+            section.timeline = self._store.timeline
+
     def _record_success(self, kind: ObjectKind) -> None:
         store = self._board.store
         store.last_success = self._board.now()
@@ -220,6 +234,14 @@
         if catalog is None:
             return
         if section.catalog is not None and catalog.version <= section.catalog.version:
+            if catalog.version < section.catalog.version:
+                self._log.info(
+                    "earlier configuration ignored",
+                    version=catalog.version,
+                    in_force=section.catalog.version,
+                    revision=stored.revision,
+                    timeline=stored.timeline,
+                )
             return
         section.catalog = catalog
         section.stored = stored
@@ -229,6 +251,7 @@
             version=catalog.version,
             routes=len(catalog.routes),
             revision=stored.revision,
+            timeline=stored.timeline,
         )
         self._board.changed.notify()
 
@@ -239,13 +262,22 @@
             self._apply_upstream(stored, removed=False)
         for gone in [name for name in directory.upstreams if name not in present]:
             self._mark_missing(gone)
-        directory.revision = max(directory.revision, listing.revision)
+        directory.revision = max(directory.revision, listing.version.revision)
 
     def _apply_upstream(self, stored: StoredObject, removed: bool) -> None:
         directory = self._board.directory
         known = directory.stored.get(stored.name)
         if known is not None and stored.revision < known.revision:
-            return  # A later change is known from a peer's snapshot.
+            # A later change is known from a peer's snapshot.
+            self._log.info(
+                "earlier entry ignored",
+                upstream=stored.name,
+                revision=stored.revision,
+                timeline=stored.timeline,
+                known_revision=known.revision,
+                known_timeline=known.timeline,
+            )
+            return
         upstream = None if removed else self._decoder.decode_upstream(stored)
         if upstream is None:
             directory.stored.pop(stored.name, None)
@@ -264,7 +296,10 @@
                 state=upstream.state.value,
                 role=upstream.role.value,
                 failure_domain=upstream.failure_domain,
+                started_at_ms=upstream.started_at_ms,
+                sequence=upstream.sequence,
                 revision=stored.revision,
+                timeline=stored.timeline,
             )
             self._board.changed.notify()
 
--- a/src/burdocksail/ports/__init__.py
+++ b/src/burdocksail/ports/__init__.py
@@ -25,6 +25,7 @@
     StoredObject,
     StoreEvent,
     StoreEvents,
+    StoreVersion,
 )
 from burdocksail.ports._upstreams import (
     Connector,
@@ -53,6 +54,7 @@
     "StoreEvent",
     "StoreEvents",
     "StoreUnavailable",
+    "StoreVersion",
     "StoredObject",
     "TooManyConnections",
     "UpstreamConnection",
--- a/src/burdocksail/ports/_store.py
+++ b/src/burdocksail/ports/_store.py
@@ -19,6 +19,23 @@
     FLEET = "fleet"
 
 
+@dataclass(frozen=True, slots=True, order=True)
+class StoreVersion:
+    """State of the store that an answer describes; a later state compares greater.
+
+    Attributes
+    ----------
+    timeline : int
+        Number that rises whenever the store is restored from an earlier copy of
+        itself. Revisions of different timelines are unrelated.
+    revision : int
+        Revision within the timeline.
+    """
+
+    timeline: int = 0
+    revision: int = 0
+
+
 @dataclass(frozen=True, slots=True)
 class StoredObject:
     """One object of the store.
@@ -30,19 +47,27 @@
         all objects of the store.
     spec : mapping
         Content as JSON values.
+    timeline : int
+        Timeline of the store in which the object was read.
     """
 
     name: str
     revision: int
     spec: Mapping[str, Any]
+    timeline: int = 0
+
+    @property
+    def version(self) -> StoreVersion:
+        """Return the state of the store in which the object last changed."""
+        return StoreVersion(self.timeline, self.revision)
 
 
 @dataclass(frozen=True, slots=True)
 class Listing:
-    """All objects of a kind, and the revision at which they were read."""
+    """All objects of a kind, and the version of the store that was read."""
 
     items: tuple[StoredObject, ...]
-    revision: int
+    version: StoreVersion
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,18 +80,25 @@
 
 @dataclass(frozen=True, slots=True)
 class StoreEvents:
-    """Changes after a revision, and the revision from which to watch next."""
+    """Changes after a revision, and the version from which to watch next."""
 
     events: tuple[StoreEvent, ...]
-    revision: int
+    version: StoreVersion
 
 
 class ObjectStore(Protocol):
     """Client of the store; every call has a time limit.
 
     Every call raises `StoreUnavailable` if it gets no usable answer.
+
+    Attributes
+    ----------
+    timeline : int
+        Latest timeline of the store that any answer has reported.
     """
 
+    timeline: int
+
     async def list(self, kind: ObjectKind) -> Listing:
         """Return all objects of a kind."""
         ...
