Let the store of the fakes be restored, with tests that fail

The in-memory store keeps copies of the last 30 s and can return to one of them: its revisions are given out again, a watch from one that it lacks loses its history, the timeline rises, operators and servers write again what they had written. Random worlds can draw it. Its delete now checks the revision, as the store's does.

--- a/src/burdocksail/fakes/_fleet.py
+++ b/src/burdocksail/fakes/_fleet.py
@@ -5,7 +5,7 @@
 
 import asyncio
 import itertools
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from functools import partial
 
 from burdocksail.agent import InstanceProcess
@@ -38,6 +38,7 @@
 HEARTBEAT_TIMEOUT = 0.6  # seconds without heartbeat until an entry is removed
 MAX_AGE = 1.5  # seconds
 LOST_PEER_LINGER = 3.0  # seconds until a server drops an unreachable peer
+REWRITE_DELAY = 0.5  # seconds until operators write again what a restoration lost
 
 
 class MemoryObjectDecoder:
@@ -96,6 +97,8 @@
         Whether no server sends heartbeats.
     without_heartbeat : set of str
         Servers that send no heartbeats.
+    published : Catalog or None
+        Catalog that operators have written last.
     """
 
     store: MemoryStore = field(default_factory=MemoryStore)
@@ -109,6 +112,8 @@
     _last_heartbeats: dict[str, float] = field(default_factory=dict)
     heartbeats_stopped: bool = False
     without_heartbeat: set[str] = field(default_factory=set)
+    published: Catalog | None = None
+    _heartbeats: int = 0
 
     async def start(
         self, instances: int = 3, servers: int = 3, catalog: Catalog | None = None
@@ -173,8 +178,30 @@
 
     def publish(self, catalog: Catalog) -> None:
         """Write a catalog to the store."""
+        self.published = catalog
         self.store.put(ObjectKind.CATALOG, "main", {"catalog": catalog})
 
+    async def restore_store(self, age: float, outage: float = 0.0) -> None:
+        """Take the store down and restore its state of `age` seconds ago.
+
+        Operators and servers then write again what they had written since.
+
+        Parameters
+        ----------
+        outage : float
+            Seconds until the store answers again.
+        """
+        for client in self.clients.values():
+            client.down = True
+        self.heartbeats_stopped = True
+        await asyncio.sleep(outage)
+        self.store.restore(age)
+        self.heartbeats_stopped = False
+        for client in self.clients.values():
+            client.down = False
+        await asyncio.sleep(REWRITE_DELAY)
+        self.publish(self.published)
+
     def leader(self) -> InstanceProcess | None:
         """Return the instance that considers itself leader, or None.
 
@@ -223,20 +250,28 @@
 
     def _send_heartbeats(self) -> None:
         now = asyncio.get_running_loop().time()
+        self._heartbeats += 1
         for server in self.database.servers.values():
             if self._sends_heartbeats(server):
                 self._last_heartbeats[server.upstream_id] = now
-                self.store.put(
-                    ObjectKind.UPSTREAMS,
-                    server.upstream_id,
-                    {"upstream": self._describe(server)},
-                )
+                self._write_entry(server)
             elif (
                 now - self._last_heartbeats.get(server.upstream_id, 0.0)
                 > HEARTBEAT_TIMEOUT
             ):
                 self.store.remove(ObjectKind.UPSTREAMS, server.upstream_id)
 
+    def _write_entry(self, server: MemoryServer) -> None:
+        """Write the entry of a server if more than its sequence has changed."""
+        key = (ObjectKind.UPSTREAMS, server.upstream_id)
+        entry = self._describe(server)
+        stored = self.store.objects.get(key)
+        if stored is not None:
+            known = stored.spec["upstream"]
+            if replace(known, sequence=entry.sequence) == entry:
+                return
+        self.store.put(*key, {"upstream": entry})
+
     def _sends_heartbeats(self, server: MemoryServer) -> bool:
         if self.heartbeats_stopped or server.upstream_id in self.without_heartbeat:
             return False
@@ -254,4 +289,5 @@
             state=UpstreamState.DRAINING if is_draining else UpstreamState.READY,
             role=UpstreamRole.PRIMARY if server.is_primary else UpstreamRole.REPLICA,
             started_at_ms=1,
+            sequence=self._heartbeats,
         )
--- a/src/burdocksail/fakes/_store.py
+++ b/src/burdocksail/fakes/_store.py
@@ -1,11 +1,11 @@
 """In-memory object store with injectable faults.
 
-Calls can fail, be delayed, hang or lose their answer, and the history for
-watches can be discarded.
+Calls can fail, be delayed, hang or lose their answer, the history for watches can
+be discarded, and the store can be restored from an earlier copy of itself.
 """
 
 import asyncio
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from typing import Any
@@ -25,6 +25,7 @@
 
 ANSWER_DELAY = 0.004  # seconds
 STALENESS = 3.0  # seconds of delay of an answer to a watch with `consistent=False`
+COPY_RETENTION = 30.0  # seconds
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,6 +35,15 @@
     event: StoreEvent
 
 
+@dataclass(frozen=True, slots=True)
+class _Copy:
+    """All objects as they were from `taken_at` until the next copy."""
+
+    taken_at: float
+    revision: int
+    objects: dict[tuple[ObjectKind, str], StoredObject]
+
+
 @dataclass(slots=True)
 class MemoryStore:
     """Objects with revisions, shared by all clients.
@@ -44,13 +54,17 @@
         Retained history, from which watches are answered.
     first_retained : int
         Lowest revision whose change is retained.
+    timeline : int
+        Number of the timeline; rises with each restoration.
     """
 
     revision: int = 1
+    timeline: int = 1
     objects: dict[tuple[ObjectKind, str], StoredObject] = field(default_factory=dict)
     changes: list[_Change] = field(default_factory=list)
     first_retained: int = 1
     changed: Signal = field(default_factory=Signal)
+    _copies: deque[_Copy] = field(default_factory=deque)
 
     def put(self, kind: ObjectKind, name: str, spec: Mapping[str, Any]) -> StoredObject:
         """Write an object and return what is stored.
@@ -61,7 +75,7 @@
         if current is not None and current.spec == spec:
             return current
         self.revision += 1
-        stored = StoredObject(name, self.revision, dict(spec))
+        stored = StoredObject(name, self.revision, dict(spec), self.timeline)
         self.objects[(kind, name)] = stored
         self._record_change(kind, stored, removed=False)
         return stored
@@ -71,7 +85,7 @@
         stored = self.objects.pop((kind, name), None)
         if stored is not None:
             self.revision += 1
-            tombstone = StoredObject(name, self.revision, stored.spec)
+            tombstone = StoredObject(name, self.revision, stored.spec, self.timeline)
             self._record_change(kind, tombstone, removed=True)
 
     def forget_history(self) -> None:
@@ -80,9 +94,37 @@
         self.first_retained = self.revision + 1
         self.changed.notify()
 
+    def restore(self, age: float) -> None:
+        """Return to the state of `age` seconds ago and begin another timeline.
+
+        What was written since is gone, and its revisions are given out again.
+        """
+        self._keep_copy()
+        limit = asyncio.get_running_loop().time() - age
+        copy = self._copies[0]
+        while self._copies and self._copies[0].taken_at <= limit:
+            copy = self._copies.popleft()
+        self._copies.clear()
+        self.revision = copy.revision
+        self.timeline += 1
+        self.objects = {
+            key: StoredObject(o.name, o.revision, o.spec, self.timeline)
+            for key, o in copy.objects.items()
+        }
+        self.changes = [c for c in self.changes if c.revision <= self.revision]
+        self._keep_copy()
+        self.changed.notify()
+
+    def _keep_copy(self) -> None:
+        now = asyncio.get_running_loop().time()
+        self._copies.append(_Copy(now, self.revision, dict(self.objects)))
+        while self._copies[0].taken_at < now - COPY_RETENTION:
+            self._copies.popleft()
+
     def _record_change(
         self, kind: ObjectKind, stored: StoredObject, removed: bool
     ) -> None:
+        self._keep_copy()
         self.changes.append(_Change(self.revision, kind, StoreEvent(stored, removed)))
         self.changed.notify()
 
@@ -103,6 +145,8 @@
         Seconds that a call takes.
     calls : Counter of ObjectKind
         Number of calls so far.
+    timeline : int
+        Latest timeline of the store that an answer has reported.
     """
 
     store: MemoryStore
@@ -117,7 +161,7 @@
         """Return all objects of a kind and the current revision."""
         await self._begin_call(kind)
         items = tuple(o for (k, _), o in self.store.objects.items() if k is kind)
-        return Listing(items, StoreVersion(0, self.store.revision))
+        return Listing(items, self._version())
 
     async def watch(
         self, kind: ObjectKind, revision: int, wait: float, consistent: bool = True
@@ -129,24 +173,31 @@
         HistoryLost
             If changes after `revision` have been discarded.
         StoreUnavailable
-            If the store is down or the watch hangs.
+            If the store is down or the watch hangs, or if the store is restored
+            meanwhile.
         """
         await self._begin_call(kind)
+        timeline = self.store.timeline
         loop = asyncio.get_running_loop()
         end = loop.time() + wait
         while True:
             if self.hangs:
                 await asyncio.sleep(wait)
                 raise StoreUnavailable("no answer in time")
-            if revision + 1 < self.store.first_retained:
-                raise HistoryLost("changes after the revision were discarded")
+            if timeline != self.store.timeline:
+                raise StoreUnavailable("the watch was cut off")
+            if (
+                revision + 1 < self.store.first_retained
+                or revision > self.store.revision
+            ):
+                raise HistoryLost("changes after the revision are not known")
             events = tuple(
                 c.event
                 for c in self.store.changes
                 if c.revision > revision and c.kind is kind
             )
             if events or loop.time() >= end:
-                result = StoreEvents(events, StoreVersion(0, self.store.revision))
+                result = StoreEvents(events, self._version())
                 if events and not consistent:
                     await asyncio.sleep(STALENESS)
                 return result
@@ -193,14 +244,28 @@
         return self._answer(self.store.put(kind, name, spec))
 
     async def delete(self, kind: ObjectKind, name: str, revision: int) -> None:
-        """Remove an object, whatever its revision."""
+        """Remove an object if its revision is `revision`.
+
+        Raises
+        ------
+        StoreConflict
+            If it has another revision.
+        """
         await self._begin_call(kind)
+        current = self.store.objects.get((kind, name))
+        if current is not None and current.revision != revision:
+            raise StoreConflict("the object has another revision", current)
         self.store.remove(kind, name)
 
     async def _begin_call(self, kind: ObjectKind) -> None:
         self.calls[kind] += 1
         await asyncio.sleep(self.delay)
         self._check_available()
+        self.timeline = self.store.timeline
+
+    def _version(self) -> StoreVersion:
+        self.timeline = self.store.timeline
+        return StoreVersion(self.store.timeline, self.store.revision)
 
     def _check_available(self) -> None:
         if self.down:
--- a/src/burdocksail/fakes/_world.py
+++ b/src/burdocksail/fakes/_world.py
@@ -7,6 +7,7 @@
 import asyncio
 import itertools
 import random
+from collections.abc import Callable, Coroutine, Sequence
 from dataclasses import dataclass, field
 
 from burdocksail.catalog import ReadPolicy
@@ -27,6 +28,7 @@
 CALLER_INTERVAL = 0.25  # seconds between sessions of a caller, on average
 FAULT_INTERVAL = 1.5  # seconds between faults, on average
 FAULT_DURATIONS = (0.5, 8.0)  # seconds, shortest and longest
+RESTORED_AGES = (1.0, 12.0)  # seconds that a restoration of the store loses
 RECOVERY_TIME = 20.0  # seconds without faults, after which all must serve again
 
 
@@ -156,16 +158,26 @@
         self.violations.append(f"{now - 1000:.3f}: {violation}")
 
 
+Fault = Callable[["World", float], Coroutine]
+
+
 class World:
-    """One run with random callers and faults, determined by its seed."""
+    """One run with random callers and faults, determined by its seed.
+
+    Parameters
+    ----------
+    faults : sequence of callable
+        Faults to draw from, `FAULTS` if empty.
+    """
 
-    def __init__(self, seed: int, instances: int = 4):
+    def __init__(self, seed: int, instances: int = 4, faults: Sequence[Fault] = ()):
         self.random = random.Random(seed)
         self.fleet = Fleet()
         self.observer = Observer(self.fleet)
         self._instances = instances
         self._ids = itertools.count()
         self._stopping = False
+        self._drawn_faults = faults or FAULTS
         self.faults: list[str] = []
 
     async def run(self, duration: float) -> None:
@@ -282,7 +294,7 @@
         running: set[asyncio.Task] = set()
         while loop.time() < end:
             await asyncio.sleep(self.random.expovariate(1 / FAULT_INTERVAL))
-            fault = self.random.choice(_FAULTS)
+            fault = self.random.choice(self._drawn_faults)
             length = self.random.uniform(*FAULT_DURATIONS)
             # A `VirtualLoop` starts at 1000 s; the run's own time starts at 0.
             self.faults.append(
@@ -350,6 +362,13 @@
         """Discard the history of changes that the store retains."""
         self.fleet.store.forget_history()
 
+    async def restore_store(self, length: float) -> None:
+        """Restore the store from a copy, after an outage; sometimes twice."""
+        for _ in range(self.random.choice([1, 1, 2])):
+            age = self.random.uniform(*RESTORED_AGES)
+            await self.fleet.restore_store(age, self.random.uniform(0.0, length / 2))
+            await asyncio.sleep(self.random.uniform(0.0, 2.0))
+
     async def crash_primary(self, length: float) -> None:
         """Crash the primary; it restarts with its log, as a replica if replaced."""
         server = self.fleet.database.current_primary(SERVICE)
@@ -402,13 +421,13 @@
 
     async def change_configuration(self, length: float) -> None:
         """Publish a catalog with other routes."""
-        version = self.fleet.store.revision + 10
+        version = self.fleet.published.version + 1
         extra = tuple(f"extra-{i}" for i in range(self.random.randint(0, 5)))
         self.fleet.publish(make_catalog(version, extra))
 
 
 # A crash and a partition of the primary are twice as likely as each other fault.
-_FAULTS = [
+FAULTS = [
     World.kill_instances,
     World.kill_leader,
     World.cut_instance,
@@ -425,3 +444,21 @@
     World.drain_primary,
     World.change_configuration,
 ]
+
+# Restorations of the store among the faults that change what it holds.
+RESTORATION_FAULTS = [
+    World.restore_store,
+    World.restore_store,
+    World.restore_store,
+    World.kill_instances,
+    World.kill_leader,
+    World.kill_leader,
+    World.cut_instance,
+    World.cut_store,
+    World.lose_store_answers,
+    World.crash_primary,
+    World.crash_primary,
+    World.cut_primary,
+    World.drain_primary,
+    World.change_configuration,
+]
--- /dev/null
+++ b/src/burdocksail/fakes/restoration_test.py
@@ -0,0 +1,235 @@
+"""A fleet whose store is restored from a copy that is some seconds old."""
+
+import asyncio
+import unittest
+
+from burdocksail.catalog import ReadPolicy, UpstreamState
+from burdocksail.core import Run
+from burdocksail.fakes import (
+    SERVICE,
+    Fleet,
+    run_in_virtual_time,
+    run_scenario,
+    silence_logs,
+    time_until_written,
+)
+from burdocksail.fakes._fleet import make_catalog
+from burdocksail.fakes._world import RESTORATION_FAULTS, World
+from burdocksail.ports import ObjectKind
+
+SEEDS = (1, 2, 3)
+DURATION = 8.0  # seconds of virtual time with faults
+
+
+def setUpModule():
+    silence_logs()
+
+
+async def kill_leader(fleet: Fleet) -> str:
+    """Kill the leader and return its name."""
+    name = fleet.leader().board.member.name
+    fleet.kill(name)
+    return name
+
+
+def raise_revision(fleet: Fleet, count: int) -> None:
+    """Change an object that no instance uses `count` times."""
+    for index in range(count):
+        fleet.store.put(ObjectKind.FLEET, "unused", {"index": index})
+
+
+class AuthorityTest(unittest.TestCase):
+    @unittest.expectedFailure
+    def test_fencing_token_does_not_go_back(self):
+        """The claim and the promotion of the present leader are lost in the store."""
+
+        async def scenario(fleet: Fleet) -> None:
+            raise_revision(fleet, 60)
+            killed = await kill_leader(fleet)
+            await asyncio.sleep(2.5)
+            await fleet.start_instance(killed)
+            fleet.database.servers["server-0"].crash()
+            await time_until_written(fleet, killed)
+            await fleet.restore_store(age=8.0, outage=0.5)
+            killed = await kill_leader(fleet)
+            await fleet.start_instance(killed)
+            fleet.database.current_primary(SERVICE).crash()
+            await time_until_written(fleet, killed)
+            tokens = [token for _, token in fleet.database.fencing_tokens]
+            self.assertGreater(len(set(tokens)), 1)
+            self.assertEqual(tokens, sorted(tokens))
+
+        run_scenario(scenario, settle_time=6.0)
+
+    def test_two_leaders_do_not_share_an_epoch(self):
+        """Whose claim is lost keeps leading, while others claim the same epoch."""
+
+        async def scenario(fleet: Fleet) -> None:
+            await kill_leader(fleet)
+            await asyncio.sleep(3.0)
+            leaders = {}
+            restored = asyncio.create_task(fleet.restore_store(age=7.0, outage=3.0))
+            for _ in range(600):
+                for name, instance in fleet.instances.items():
+                    state = instance.describe()
+                    if state["leading"]:
+                        leaders.setdefault(state["epoch"], set()).add(name)
+                await asyncio.sleep(0.02)
+            await restored
+            self.assertEqual([e for e, names in leaders.items() if len(names) > 1], [])
+            self.assertLess(await time_until_written(fleet, "instance-1"), 1.0)
+
+        run_scenario(scenario, settle_time=6.0)
+
+    @unittest.expectedFailure
+    def test_replaced_primary_is_not_used_again(self):
+        """The store loses a change of primary, and the leader that made it is lost.
+
+        The replaced primary still considers itself primary when it returns.
+        """
+
+        async def scenario(fleet: Fleet) -> None:
+            old = fleet.database.servers["server-0"]
+            others = [*fleet.clients, "server-1", "server-2"]
+            old.cut_from = set(others)
+            await asyncio.sleep(0.5)
+            await time_until_written(fleet, "instance-1")
+            current = fleet.database.current_primary(SERVICE).upstream_id
+            self.assertNotEqual(current, "server-0")
+            restored = asyncio.create_task(fleet.restore_store(age=6.0, outage=1.0))
+            await kill_leader(fleet)
+            old.cut_from = {"server-1", "server-2"}
+            loop = asyncio.get_running_loop()
+            end = loop.time() + 25.0
+            answered = 0
+            while loop.time() < end:
+                for name in list(fleet.instances):
+                    session = fleet.session(name, ReadPolicy.PRIMARY)
+                    reply = await session.execute(
+                        Run(f"{name}-{loop.time()}", "WRITE", True)
+                    )
+                    answered += reply.failure_kind is None
+                await asyncio.sleep(0.1)
+            await restored
+            self.assertGreater(answered, 50)
+            lost = [e for e in old.log if e.position.term == 1]
+            limit = min(at for at, *_ in fleet.database.promotions)
+            self.assertEqual([e for e in lost if e.committed_at > limit], [])
+
+        run_scenario(scenario, settle_time=6.0)
+
+    def test_leader_goes_on_after_a_restoration(self):
+        """Groups stay open, and a primary lost soon after is replaced in seconds."""
+
+        async def scenario(fleet: Fleet) -> None:
+            leader = fleet.leader()
+            restored = asyncio.create_task(fleet.restore_store(age=4.0, outage=2.0))
+            for index in range(80):
+                session = fleet.session("instance-1", ReadPolicy.PRIMARY)
+                reply = await session.execute(Run(f"w{index}", "WRITE", True))
+                self.assertIsNone(reply.failure_kind, reply.message)
+                await asyncio.sleep(0.05)
+            await restored
+            self.assertIs(fleet.leader(), leader)
+            fleet.database.servers["server-0"].crash()
+            self.assertLess(await time_until_written(fleet, "instance-1"), 5.0)
+
+        run_scenario(scenario, settle_time=6.0)
+
+
+class TrackingTest(unittest.TestCase):
+    @unittest.expectedFailure
+    def test_draining_server_gets_no_new_work(self):
+        """Its new entry has a lower revision than the known one.
+
+        So has the entry of the copy, which says that it is ready.
+        """
+
+        async def scenario(fleet: Fleet) -> None:
+            raise_revision(fleet, 60)
+            fleet.draining.update(("server-1", "server-2"))
+            await asyncio.sleep(0.5)
+            fleet.draining.remove("server-2")
+            await asyncio.sleep(1.0)
+            await fleet.restore_store(age=9.0, outage=1.0)
+            fleet.draining.add("server-2")
+            await asyncio.sleep(1.0)
+            for name, instance in fleet.instances.items():
+                upstreams = instance.board.directory.upstreams
+                for server in ("server-1", "server-2"):
+                    state = upstreams[server].state
+                    self.assertIs(state, UpstreamState.DRAINING, (name, server))
+
+        run_scenario(scenario, settle_time=9.0)
+
+    def test_draining_server_is_not_ready_again_by_the_copy(self):
+        """The server does not write its entry again for some time."""
+
+        async def scenario(fleet: Fleet) -> None:
+            fleet.draining.add("server-1")
+            await asyncio.sleep(1.0)
+            fleet.without_heartbeat.add("server-1")
+            restored = asyncio.create_task(fleet.restore_store(age=4.0))
+            for _ in range(50):
+                for instance in fleet.instances.values():
+                    upstream = instance.board.directory.upstreams.get("server-1")
+                    if upstream is not None:
+                        self.assertIs(upstream.state, UpstreamState.DRAINING)
+                await asyncio.sleep(0.02)
+            await restored
+
+        run_scenario(scenario, settle_time=9.0)
+
+    def test_removed_server_does_not_return_by_the_copy(self):
+        async def scenario(fleet: Fleet) -> None:
+            fleet.draining.add("server-1")
+            await asyncio.sleep(1.0)
+            fleet.without_heartbeat.add("server-1")
+            await asyncio.sleep(2.0)
+            restored = asyncio.create_task(fleet.restore_store(age=5.0))
+            for _ in range(50):
+                for instance in fleet.instances.values():
+                    self.assertNotIn("server-1", instance.board.directory.upstreams)
+                await asyncio.sleep(0.02)
+            await restored
+
+        run_scenario(scenario, settle_time=9.0)
+
+    @unittest.expectedFailure
+    def test_changes_under_reused_revisions_are_not_missed(self):
+        """An instance reaches the store again once it has given out its revision.
+
+        It also reaches no peer that could tell it of the changes.
+        """
+
+        async def scenario(fleet: Fleet) -> None:
+            raise_revision(fleet, 60)
+            fleet.publish(make_catalog(2))
+            await asyncio.sleep(1.0)
+            client = fleet.clients["instance-2"]
+            client.down = True
+            fleet.network.isolate(fleet.host("instance-2"), fleet.hosts())
+            await asyncio.sleep(1.0)
+            fleet.store.restore(age=5.0)
+            fleet.publish(make_catalog(3))
+            raise_revision(fleet, 80)
+            client.down = False
+            await asyncio.sleep(2.0)
+            board = fleet.instances["instance-2"].board
+            self.assertEqual(board.catalog.catalog.version, 3)
+
+        run_scenario(scenario, settle_time=6.0)
+
+
+class WorldTest(unittest.TestCase):
+    @unittest.expectedFailure
+    def test_guarantees_hold_through_restorations(self):
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                world = World(seed, faults=RESTORATION_FAULTS)
+                run_in_virtual_time(world.run(DURATION))
+                self.assertEqual(world.observer.violations, [])
+
+
+if __name__ == "__main__":
+    unittest.main()
