Ask a replica that returns while a server is chosen

Callers could lose acknowledged writes of a service whose commits wait for a replica. The servers to ask were listed once for an attempt to choose, while the number of answers needed was counted anew at each look: a lost replica that came back meanwhile no longer counted as lost and was not asked either, so that one without the commits was promoted. Both now come from the same look.

--- a/src/burdocksail/authority/_change.py
+++ b/src/burdocksail/authority/_change.py
@@ -190,13 +190,14 @@
         old primary had received, enough replicas have to answer by then. A server
         that an earlier leader has promoted is returned at once.
         """
-        candidates = self._find_candidates()
-        if not candidates:
-            raise ChangeFailed("no server is left to promote")
         required = None if old_status is None else old_status.received
         end = self._board.now() + CATCH_UP_TIMEOUT
         previous: LogPosition | None = None
         while True:
+            candidates = self._find_candidates()
+            if not candidates:
+                raise ChangeFailed("no server is left to promote")
+            answers_needed = self._count_answers_needed(len(candidates))
             answers = await self._inspector.inspect_all(candidates, INSPECT_TIMEOUT)
             promoted_earlier = self._find_promoted_earlier(answers, len(candidates))
             if promoted_earlier is not None:
@@ -209,7 +210,7 @@
             received = best.status.received
             if required is not None:
                 caught_up = received >= required
-            elif len(answers) < self._count_answers_needed(len(candidates)):
+            elif len(answers) < answers_needed:
                 if overdue:
                     raise ChangeFailed(
                         "too few replicas answer to find every acknowledged commit"
--- a/src/burdocksail/authority/change_test.py
+++ b/src/burdocksail/authority/change_test.py
@@ -71,6 +71,35 @@
 
         run_scenario(scenario)
 
+    def test_replica_that_returns_during_the_choice_is_waited_for(self):
+        """The only replica with the commits returns at different moments of a change.
+
+        Earlier fault: its entry no longer counted as lost, and it was not among the
+        servers that this attempt had begun to ask.
+        """
+
+        def make_scenario(offset: float):
+            async def scenario(fleet: Fleet) -> None:
+                catalog = make_catalog(9)
+                catalog.services[SERVICE] = Service(SERVICE, 60, sync_replicas=1)
+                fleet.publish(catalog)
+                servers = fleet.database.servers
+                servers["server-1"].replication_stopped = True
+                await time_until_written(fleet, "instance-1")
+                await asyncio.sleep(0.5)
+                servers["server-2"].cut_from = {"*"}
+                servers["server-0"].crash()
+                await asyncio.sleep(6.0 + offset)
+                servers["server-2"].cut_from = set()
+                await time_until_written(fleet, "instance-1")
+                self.assertEqual(fleet.database.promotions[0][2], "server-2")
+
+            return scenario
+
+        for tenths in range(0, 16):
+            with self.subTest(tenths=tenths):
+                run_scenario(make_scenario(tenths / 10))
+
     def test_stale_primary_serves_only_under_its_new_term(self):
         """A stale primary that is promoted again needs a new term before it serves.
 
