Repeat an unanswered promotion order only while leading

What callers could see: a write acknowledged by a replaced primary, and a lower fencing token after a higher one. An unanswered order was sent again for 2 s without asking whether this instance still leads, while the next leader waits only for orders sent within 1 s of the write of the record. With a store that has been restored the order of the leader of the earlier timeline could follow as well.

The right to order is now checked before each order, and the change is recorded again if that was done more than 1 s ago; if the store does not answer, the order is not repeated, and the change goes on waiting for the earlier ones.

--- a/src/burdocksail/authority/_change.py
+++ b/src/burdocksail/authority/_change.py
@@ -26,6 +26,7 @@
     PromotionRefused,
     PromotionUnknown,
     ServerStatus,
+    StoreUnavailable,
 )
 
 HOLD_TIMEOUT = 0.8  # seconds for in-flight work to end before a planned change
@@ -277,11 +278,7 @@
         return current is None or current.state is not UpstreamState.READY
 
     async def _promote(self, chosen: InspectedServer) -> None:
-        leadership = self._leadership
-        if self._board.now() > self._recorded_at + PROMOTION_START_LIMIT:
-            await self._write_record()
-        if not leadership.holds_leader_lease:
-            raise LeadershipLost("the leader lease was lost before the promotion order")
+        await self._require_right_to_order()
         target = chosen.upstream
         self._log.info(
             "promotion ordered",
@@ -303,11 +300,42 @@
                 status, chosen.status, took_effect
             ):
                 return
-            if not answered and end - self._board.now() > PROMOTION_ORDER_LIFETIME:
+            if not answered and await self._may_repeat_order(end):
                 answered = await self._send_order(target)
             await asyncio.sleep(POLL_INTERVAL)
         raise ChangeFailed("the promoted server did not become primary in time")
 
+    async def _require_right_to_order(self) -> None:
+        """Record the change again unless that was done a short time ago.
+
+        Raises
+        ------
+        LeadershipLost
+            If another instance is the leader, or may be.
+        StoreUnavailable
+            If it is not known whether the change was recorded.
+        """
+        if self._board.now() > self._recorded_at + PROMOTION_START_LIMIT:
+            await self._write_record()
+        if not self._leadership.holds_leader_lease:
+            raise LeadershipLost("the leader lease was lost before the promotion order")
+
+    async def _may_repeat_order(self, end: float) -> bool:
+        """Return whether an unanswered order may be sent again.
+
+        The last order has to arrive before `end`, and before any order of the next
+        leader.
+        """
+        limit = end - PROMOTION_ORDER_LIFETIME
+        if self._board.now() >= limit:
+            return False
+        try:
+            await self._require_right_to_order()
+        except StoreUnavailable as error:
+            self._log.warning("promotion order not repeated", reason=str(error))
+            return False
+        return self._board.now() < limit
+
     async def _send_order(self, target: Upstream) -> bool:
         """Send the promotion order; return whether it was answered."""
         holder = self._board.member.name
--- a/src/burdocksail/authority/change_test.py
+++ b/src/burdocksail/authority/change_test.py
@@ -6,16 +6,19 @@
 from unittest import mock
 
 from burdocksail.authority import _grantees, _leadership
+from burdocksail.authority._limits import PROMOTION_START_LIMIT
 from burdocksail.catalog import ReadPolicy, Service
 from burdocksail.core import Begin, Commit, FailureKind, Run, TransactionState
 from burdocksail.fakes import (
     SERVICE,
     Fleet,
+    MemoryDatabase,
     make_catalog,
     run_scenario,
     silence_logs,
     time_until_written,
 )
+from burdocksail.ports import PromotionUnknown
 from burdocksail.serving import _freshness
 
 
@@ -283,6 +286,33 @@
 
         run_scenario(scenario)
 
+    def test_replaced_leader_does_not_repeat_its_order(self):
+        """No order is answered, and the leader is partitioned after its first one.
+
+        A later order would arrive after that of the next leader, with a lower token.
+        """
+
+        async def scenario(fleet: Fleet) -> None:
+            loop = asyncio.get_running_loop()
+            leader = fleet.leader().board.member
+            first_token = fleet.leader()._authority._leadership.fencing_token
+            ordered_at: list[float] = []
+
+            async def lose_order(database, service, upstream_id, token):
+                fleet.network.isolate(leader.host, fleet.hosts())
+                fleet.clients[leader.name].down = True
+                if token == first_token:
+                    ordered_at.append(loop.time())
+                raise PromotionUnknown("no answer")
+
+            with mock.patch.object(MemoryDatabase, "promote", lose_order):
+                fleet.database.servers["server-0"].crash()
+                await asyncio.sleep(8.0)
+            self.assertGreater(len(ordered_at), 0)
+            self.assertLess(ordered_at[-1] - ordered_at[0], PROMOTION_START_LIMIT)
+
+        run_scenario(scenario)
+
 
 if __name__ == "__main__":
     unittest.main()
