Notice a restoration of the store from every call

Callers could be answered by an earlier configuration for up to 26 s: a restoration was noticed only when a watch ended, and watches may stay unanswered while the store is away. The leader confirms its record each second, but its answers were not looked at, so it told no other instance either.

The timeline that any call has reported is now looked at every 0.25 s; watches then begin anew, and the other instances are told with the next grant.

Evidence: the new test lets all watches hang; without the change no instance noticed the restoration within 2 s.

--- a/src/burdocksail/fakes/restoration_test.py
+++ b/src/burdocksail/fakes/restoration_test.py
@@ -228,3 +228,22 @@
 
 if __name__ == "__main__":
     unittest.main()
+    def test_restoration_is_noticed_though_all_watches_hang(self):
+        """Only the leader calls the store meanwhile, to confirm its record."""
+
+        async def scenario(fleet: Fleet) -> None:
+            await asyncio.sleep(3.0)
+            for client in fleet.clients.values():
+                client.hangs = True
+            fleet.store.restore(age=2.0)
+            await asyncio.sleep(0.01)
+            for client in fleet.clients.values():
+                client.hangs = False
+            fleet.publish(make_catalog(2))
+            await asyncio.sleep(2.0)
+            for instance in fleet.instances.values():
+                self.assertEqual(instance.board.store.timeline, 2)
+                self.assertEqual(instance.board.catalog.catalog.version, 2)
+
+        run_scenario(scenario, settle_time=6.0)
+
--- a/src/burdocksail/fleet/_tracking.py
+++ b/src/burdocksail/fleet/_tracking.py
@@ -139,6 +139,8 @@
         """
         while True:
             await asyncio.sleep(POLL_INTERVAL)
+            # Another controller's call may have shown it while the watches wait.
+            self._record_timeline()
             self._drop_expired()
             self._apply_unconfirmed()
             self._drop_unlisted()
