Keep the time since which a restored entry is in doubt

An entry of the copy that is older than the known one is applied if the store still holds it 6 s later. A second listing meanwhile, as after a lost history, began the 6 s anew, so that a server that had returned under its earlier entry could stay unused for as long as the listings went on. Found by reading; no run has shown it.

--- a/src/burdocksail/fleet/_tracking.py
+++ b/src/burdocksail/fleet/_tracking.py
@@ -426,9 +426,10 @@
                 revision=stored.revision,
                 timeline=stored.timeline,
             )
-            directory.unconfirmed[stored.name] = UnconfirmedEntry(
-                stored, self._board.now()
-            )
+            entry = directory.unconfirmed.get(stored.name)
+            if entry is None or entry.stored != stored:
+                entry = UnconfirmedEntry(stored, self._board.now())
+                directory.unconfirmed[stored.name] = entry
         return is_older
 
     def _apply_unconfirmed(self) -> None:
