Count unknown leases from the restoration of the store

Callers were refused at the primary for up to 12 s longer than needed: after a restoration no primary may be replaced while an instance that does not answer may hold the lease of a leader whose claim is lost, 12.1 s at most. Each later leader counted these from its own start. Such a claim was confirmed before the restoration at the latest, so they are now counted from when that was seen.

Evidence: the new test of the grantees.

--- a/src/burdocksail/authority/_grantees.py
+++ b/src/burdocksail/authority/_grantees.py
@@ -17,6 +17,8 @@
 from burdocksail.fleet import Address, Renew
 
 LIVENESS_WINDOW = 1.0  # seconds; three renewals
+# Seconds from the last record that a leader confirms until its last lease expires.
+ALL_LEASES_DURATION = LEADER_LEASE_DURATION + LEASE_DURATION + CLOCK_MARGIN
 
 
 @dataclass(slots=True)
@@ -64,9 +66,9 @@
     instances_known : bool
         Whether every instance in one listing of the store, made after the claim, is
         known here.
-    restored : bool
-        Whether leaders that are not known here may still grant leases, as a
-        restoration of the store may have lost their claims.
+    restored_at : float or None
+        Clock reading at which the store had been restored, if leaders that are not
+        known here may still grant leases: a restoration loses claims.
     """
 
     own: Member
@@ -75,7 +77,7 @@
     unsettled: dict[Member, tuple[Member, ...]]
     settled: dict[Member, SettledLeader] = field(default_factory=dict)
     instances_known: bool = False
-    restored: bool = False
+    restored_at: float | None = None
     by_address: dict[Address, Grantee] = field(default_factory=dict)
 
     def record_renewal(self, renewal: Renew, now: float) -> Grantee:
@@ -196,14 +198,15 @@
 
         Either all have expired, or all earlier leaders have stopped granting and
         every registered instance has adopted this epoch, which drops its earlier
-        lease. The latter is always required after a restoration of the store.
+        lease. Unknown leaders count as earlier ones.
         """
-        if (
-            now
-            >= self.started_at + LEADER_LEASE_DURATION + LEASE_DURATION + CLOCK_MARGIN
-        ):
+        if now >= self.started_at + ALL_LEASES_DURATION:
             return True
-        if not self.restored and not self.find_earlier_leaders(now):
+        may_be_unknown = (
+            self.restored_at is not None
+            and now < self.restored_at + ALL_LEASES_DURATION
+        )
+        if not may_be_unknown and not self.find_earlier_leaders(now):
             return True
         if self.unsettled or any(s.stops_at > now for s in self.settled.values()):
             return False
--- a/src/burdocksail/authority/_leadership.py
+++ b/src/burdocksail/authority/_leadership.py
@@ -118,7 +118,7 @@
             self.epoch,
             board.now(),
             unsettled,
-            restored=record.restored,
+            restored_at=board.store.timeline_since if record.restored else None,
         )
         self.grantees.settle(board.now())
         # Holds more than one set while a write of the record is unconfirmed; a
@@ -161,7 +161,7 @@
             "leadership begun",
             fence=self.fencing_token,
             timeline=self.timeline,
-            restored=self.grantees.restored,
+            restored=self.is_restored,
             unsettled=[m.name for m in self.grantees.unsettled],
             changing=sorted(self.changing),
         )
@@ -235,6 +235,14 @@
         board.members.alive_count = 1 + len(self.grantees.find_live(board.now()))
         board.members.registered_count = len(board.members.registered)
 
+    @property
+    def is_restored(self) -> bool:
+        """Return whether the store was restored a short time before the claim.
+
+        What the record lacks may then have been lost from it.
+        """
+        return self.grantees.restored_at is not None
+
     def find_unconfirmed(self, generation: int) -> list[str]:
         """Return the names of instances that may use a view older than `generation`."""
         return self.grantees.find_unconfirmed(
@@ -258,7 +266,7 @@
 
         Any of them may hold a lease of an earlier leader.
         """
-        if self.grantees.restored:
+        if self.is_restored:
             board = self._board
             listed_at = board.store.timeline_since + REGISTRATION_TIME
             await asyncio.sleep(max(0.0, listed_at - board.now()))
@@ -448,7 +456,7 @@
             self._find_members(),
             tuple(EarlierLeader(*item) for item in earlier.items()),
             groups,
-            self.grantees.restored and not self.earlier_leases_ended,
+            self.is_restored and not self.earlier_leases_ended,
         )
 
     async def _remove_silent_instances(self) -> None:
--- a/src/burdocksail/authority/grantees_test.py
+++ b/src/burdocksail/authority/grantees_test.py
@@ -45,6 +45,17 @@
         self.assertTrue(grantees.find_unconfirmed(1, set(), almost))
         self.assertFalse(grantees.find_unconfirmed(1, set(), almost + 0.2))
 
+    def test_unknown_leader_is_waited_for_from_the_restoration(self):
+        """A claim that a restored store has lost was confirmed before that at most.
+
+        Earlier fault: each leader since then waited from its own start.
+        """
+        grantees = Grantees(self.own, 5, 100.0, {}, restored_at=95.0)
+        silent = {("10.0.0.9", 1)}
+        almost = 95.0 + LEADER_LEASE_DURATION + LEASE_DURATION
+        self.assertTrue(grantees.find_unconfirmed(1, silent, almost))
+        self.assertFalse(grantees.find_unconfirmed(1, silent, almost + 0.2))
+
     def test_own_earlier_incarnation_is_settled_at_once(self):
         """Another incarnation at this address proves that the earlier one ended."""
         earlier = make_member(1, "earlier run")
