Ask the servers of a group whose record a restoration has lost

A write was acknowledged by a replaced primary. If the copy of the store is older than the authority record, or than the entry of a group in it, and no instance remembers the primary, the group was opened on the entries of the servers. These are of the copy as well until they are written again, and a replaced primary may go on listing itself.

In the timeline of a restored store a group without a record is now closed until its servers have been asked, as a recorded one is that no lease proves. Several listed primaries no longer leave such a group out.

Evidence: the new test; without the change one write was acknowledged in term 1 after the promotion of another server.

--- a/src/burdocksail/authority/_claims.py
+++ b/src/burdocksail/authority/_claims.py
@@ -321,8 +321,8 @@
     async def _prepare_first_record(self) -> AuthorityRecord | None:
         """Return the first record of this timeline; None if it is not due yet.
 
-        If the store has a record of an earlier timeline, or this instance has followed
-        a leader, the store was restored.
+        After a restoration of the store it is due once no order of a leader of an
+        earlier timeline can be sent any more.
         """
         board = self._board
         listing = await self._store.list(ObjectKind.FLEET)
@@ -330,7 +330,8 @@
             return None
         earlier = find_earlier_record(listing)
         authority = board.authority
-        if earlier is None and authority.epoch == 0:
+        is_restored = board.store.timeline > FIRST_TIMELINE
+        if not is_restored and earlier is None and authority.epoch == 0:
             return self._make_first_record()
         if self._find_claim_wait() > 0.0:
             return None
--- a/src/burdocksail/authority/_leadership.py
+++ b/src/burdocksail/authority/_leadership.py
@@ -21,6 +21,7 @@
     TAKEOVER_TIMEOUT,
 )
 from burdocksail.authority._record import (
+    CHANGES_PER_TIMELINE,
     AuthorityRecord,
     EarlierLeader,
     GroupRecord,
@@ -46,6 +47,7 @@
     StoreConflict,
     StoredObject,
     StoreUnavailable,
+    count_from_timeline,
 )
 
 CONFIRM_INTERVAL = 1.0  # seconds; several attempts fit into the leader lease
@@ -243,6 +245,18 @@
         """
         return self.grantees.restored_at is not None
 
+    def add_unproven_group(self, service: str, primary_id: str) -> None:
+        """Add a closed group whose primary is known only from the servers' entries.
+
+        Its record may have been lost, so the change of primary that is due now asks
+        the servers.
+        """
+        change = 1 + count_from_timeline(self.timeline, CHANGES_PER_TIMELINE)
+        self.changing.add(service)
+        self.inherited_changes |= {service}
+        self.unproven_groups |= {service}
+        self.set_view(GroupView(service, primary_id, change, GroupState.CLOSED))
+
     def find_unconfirmed(self, generation: int) -> list[str]:
         """Return the names of instances that may use a view older than `generation`."""
         return self.grantees.find_unconfirmed(
--- a/src/burdocksail/authority/_record.py
+++ b/src/burdocksail/authority/_record.py
@@ -16,6 +16,7 @@
 
 SCHEMA_VERSION = 1
 EPOCHS_PER_TIMELINE = 10**9
+CHANGES_PER_TIMELINE = 10**9
 MAX_UNSETTLED = 8  # enough for leaders elected within a few seconds of each other
 
 
@@ -149,7 +150,7 @@
             is_open = view.state is GroupState.OPEN
             groups[service] = GroupRecord(view.primary_id, view.change, not is_open)
     if not views_valid:
-        first_change = count_from_timeline(timeline, EPOCHS_PER_TIMELINE)
+        first_change = count_from_timeline(timeline, CHANGES_PER_TIMELINE)
         groups = {
             service: GroupRecord(
                 group.primary_id, max(group.change, first_change), changing=True
--- a/src/burdocksail/authority/_watchdog.py
+++ b/src/burdocksail/authority/_watchdog.py
@@ -91,7 +91,11 @@
                 task.cancel()
 
     def _add_new_groups(self) -> None:
-        """Add each service that has no group yet and exactly one listed primary."""
+        """Add each service that has no group yet and exactly one listed primary.
+
+        If the store was restored, a replaced primary may be listed as well, and the
+        record of the group may have been lost: its servers are asked first.
+        """
         catalog = self._board.catalog.catalog
         for service in () if catalog is None else catalog.services:
             if service in self._leadership.views or service in self._running:
@@ -101,7 +105,9 @@
                 for u in self._board.directory.of_service(service)
                 if u.role is UpstreamRole.PRIMARY
             ]
-            if len(primaries) == 1:
+            if primaries and self._leadership.is_restored:
+                self._leadership.add_unproven_group(service, primaries[0].id)
+            elif len(primaries) == 1:
                 task = asyncio.create_task(self._add_group(service, primaries[0].id))
                 self._register_task(service, task)
 
--- a/src/burdocksail/fakes/restoration_test.py
+++ b/src/burdocksail/fakes/restoration_test.py
@@ -15,6 +15,7 @@
 )
 from burdocksail.fakes._fleet import make_catalog
 from burdocksail.fakes._world import RESTORATION_FAULTS, World
+from burdocksail.fleet import AUTHORITY_NAME
 from burdocksail.ports import ObjectKind
 
 SEEDS = (1, 2, 3)
@@ -116,6 +117,35 @@
 
         run_scenario(scenario, settle_time=6.0)
 
+    def test_group_without_a_record_asks_its_servers(self):
+        """The copy is older than the record, and no instance remembers a primary.
+
+        It holds the entry of a primary that was replaced and still takes itself for
+        one; the entry of the present primary is written again later.
+        """
+
+        async def scenario(fleet: Fleet) -> None:
+            old = fleet.database.servers["server-0"]
+            old.cut_from = {*fleet.clients, "server-1", "server-2"}
+            await asyncio.sleep(0.5)
+            await time_until_written(fleet, "instance-1")
+            current = fleet.database.current_primary(SERVICE)
+            for name in list(fleet.instances):
+                fleet.kill(name)
+            old.cut_from = {"server-1", "server-2"}
+            fleet.without_heartbeat.add(current.upstream_id)
+            fleet.store.restore(age=30.0)
+            self.assertNotIn((ObjectKind.FLEET, AUTHORITY_NAME), fleet.store.objects)
+            fleet.publish(fleet.published)
+            for name in fleet.clients:
+                await fleet.start_instance(name)
+            await asyncio.sleep(1.0)
+            fleet.without_heartbeat.clear()
+            await time_until_written(fleet, "instance-1")
+            self.assertEqual([e for e in old.log if e.position.term == 1], [])
+
+        run_scenario(scenario)
+
     def test_leader_goes_on_after_a_restoration(self):
         """Groups stay open, and a primary lost soon after is replaced in seconds."""
 
@@ -192,6 +222,25 @@
 
         run_scenario(scenario, settle_time=9.0)
 
+    def test_restoration_is_noticed_though_all_watches_hang(self):
+        """Only the leader calls the store meanwhile, to confirm its record."""
+
+        async def scenario(fleet: Fleet) -> None:
+            await asyncio.sleep(3.0)
+            for client in fleet.clients.values():
+                client.hangs = True
+            fleet.store.restore(age=2.0)
+            await asyncio.sleep(0.01)
+            for client in fleet.clients.values():
+                client.hangs = False
+            fleet.publish(make_catalog(2))
+            await asyncio.sleep(2.0)
+            for instance in fleet.instances.values():
+                self.assertEqual(instance.board.store.timeline, 2)
+                self.assertEqual(instance.board.catalog.catalog.version, 2)
+
+        run_scenario(scenario, settle_time=6.0)
+
     def test_changes_under_reused_revisions_are_not_missed(self):
         """An instance reaches the store again once it has given out its revision.
 
@@ -228,22 +277,3 @@
 
 if __name__ == "__main__":
     unittest.main()
-    def test_restoration_is_noticed_though_all_watches_hang(self):
-        """Only the leader calls the store meanwhile, to confirm its record."""
-
-        async def scenario(fleet: Fleet) -> None:
-            await asyncio.sleep(3.0)
-            for client in fleet.clients.values():
-                client.hangs = True
-            fleet.store.restore(age=2.0)
-            await asyncio.sleep(0.01)
-            for client in fleet.clients.values():
-                client.hangs = False
-            fleet.publish(make_catalog(2))
-            await asyncio.sleep(2.0)
-            for instance in fleet.instances.values():
-                self.assertEqual(instance.board.store.timeline, 2)
-                self.assertEqual(instance.board.catalog.catalog.version, 2)
-
-        run_scenario(scenario, settle_time=6.0)
-
