Begin no leadership on a claim read in a later timeline

Found by reading: the reply to a claim is lost, the store is restored, and the claimant reads the record before it knows of the restoration. It began to lead on a record that is not of the present timeline, and granted leases for a second at most, until it found the record of its timeline missing. The claim now ends at the read.

Evidence: the new test fails without the change.

--- a/src/burdocksail/authority/_claims.py
+++ b/src/burdocksail/authority/_claims.py
@@ -252,6 +252,7 @@
                 )
                 self._require_timeline(claimed)
             else:
+                self._require_timeline(stored)
                 current = decode_record(stored.spec)
                 self._record_seen = True
                 if self._is_own_unused_claim(current):
@@ -262,7 +263,6 @@
                 ):
                     self._follow(current)
                     return
-                self._require_timeline(stored)
                 record = current.claimed_by(board.member)
                 claimed = await self._store.replace(
                     ObjectKind.FLEET, name, encode_record(record), stored.revision
--- a/src/burdocksail/fakes/restoration_test.py
+++ b/src/burdocksail/fakes/restoration_test.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
+from burdocksail.authority._record import AuthorityRecord, encode_record
 from burdocksail.catalog import ReadPolicy, UpstreamState
 from burdocksail.core import Run
 from burdocksail.fakes import (
@@ -146,6 +148,23 @@
 
         run_scenario(scenario)
 
+    def test_claim_read_in_a_later_timeline_is_not_led(self):
+        """The reply to the claim was lost, and the store was restored since."""
+
+        async def scenario(fleet: Fleet) -> None:
+            for name in ("instance-0", "instance-2"):
+                fleet.kill(name)
+            instance = fleet.instances["instance-1"]
+            record = AuthorityRecord(9, instance.board.member, (), (), {})
+            fleet.store.put(ObjectKind.FLEET, AUTHORITY_NAME, encode_record(record))
+            fleet.store.restore(age=0.0)
+            claimant = instance._authority._claimant
+            with mock.patch.object(claimant, "_on_claimed") as on_claimed:
+                await claimant._claim()
+                on_claimed.assert_not_called()
+
+        run_scenario(scenario)
+
     def test_leader_goes_on_after_a_restoration(self):
         """Groups stay open, and a primary lost soon after is replaced in seconds."""
 
