--- a/src/burdocksail/fakes/_world.py
+++ b/src/burdocksail/fakes/_world.py
@@ -30,6 +30,8 @@
 FAULT_DURATIONS = (0.5, 8.0)  # seconds, shortest and longest
 RESTORED_AGES = (1.0, 12.0)  # seconds that a restoration of the store loses
 RECOVERY_TIME = 20.0  # seconds without faults, after which all must serve again
+APPLY_TIME = 3.0  # seconds after which a configuration must be in force
+DRAIN_TIME = 7.0  # seconds after which a draining server must get no new work
 
 
 @dataclass(frozen=True, slots=True)
@@ -187,6 +189,8 @@
         await self._inject_faults(duration)
         await asyncio.sleep(RECOVERY_TIME)
         await self._check_recovery()
+        await self._check_configuration()
+        await self._check_draining()
         self._stopping = True
         await asyncio.gather(*callers)
         self.observer.check_end()
@@ -288,6 +292,33 @@
                     f"{name} does not serve after the faults: {reply.message}"
                 )
 
+    async def _check_configuration(self) -> None:
+        """Check that a route added after the faults is served everywhere."""
+        database = "added-last"
+        version = self.fleet.published.version + 1
+        self.fleet.publish(make_catalog(version, (database,)))
+        await asyncio.sleep(APPLY_TIME)
+        for name, instance in sorted(self.fleet.instances.items()):
+            session = CallerSession(instance.serving, database)
+            reply = await session.execute(Run(self._next_id(), "READ", False))
+            if reply.failure_kind is not None:
+                self.observer.violations.append(
+                    f"{name} does not serve an added route: {reply.message}"
+                )
+
+    async def _check_draining(self) -> None:
+        """Check that a replica that leaves after the faults gets no more reads."""
+        database = self.fleet.database
+        primary = database.current_primary(SERVICE).upstream_id
+        replica = next(s for s in sorted(database.servers) if s != primary)
+        self.fleet.draining.add(replica)
+        await asyncio.sleep(DRAIN_TIME)
+        earlier = set(database.reads)
+        await asyncio.sleep(1.0)
+        late = [r.server for row, r in database.reads.items() if row not in earlier]
+        if replica in late:
+            self.observer.violations.append(f"late read on {replica}, which leaves")
+
     async def _inject_faults(self, duration: float) -> None:
         loop = asyncio.get_running_loop()
         end = loop.time() + duration
@@ -362,6 +393,17 @@
         """Discard the history of changes that the store retains."""
         self.fleet.store.forget_history()
 
+    async def hang_watches(self, length: float) -> None:
+        """Leave the waiting watches of some or all instances unanswered."""
+        names = sorted(self.fleet.clients)
+        hanging = self.random.sample(names, self.random.randint(1, len(names)))
+        for name in hanging:
+            self.fleet.clients[name].hangs = True
+        self.fleet.store.changed.notify()
+        await asyncio.sleep(0.1)
+        for name in hanging:
+            self.fleet.clients[name].hangs = False
+
     async def restore_store(self, length: float) -> None:
         """Restore the store from a copy, after an outage; sometimes twice."""
         for _ in range(self.random.choice([1, 1, 2])):
@@ -469,6 +511,7 @@
     World.cut_instance,
     World.cut_store,
     World.lose_store_answers,
+    World.hang_watches,
     World.crash_primary,
     World.crash_primary,
     World.cut_primary,
