Open a group again whose primary has not changed, before all leases end

No instance held a lease any more, so every group was unproven and closed; the claimant then waited for the leases of leaders whose claims may be lost, 12.1 s as long as any registered instance is silent, here one that had been removed for good 10 s before, and 3 s more for an order that changed nothing.

These leases need to end before a promotion, not before a group is opened again under its present primary: a lease names the present primary, or the group as closed. The servers are now asked once no earlier order can take effect any more. If all answer, exactly one is primary and none knows a later term, the group is opened again, provided that a successor would be listed: the instance has known the servers since before the restoration and none of them was lost around it. Else everything is as before. The next leader of the same timeline does likewise, and a group that has been opened is no longer taken for inherited.

The second test keeps the successor and its leader apart from the rest; it fails without the proviso.

--- a/src/burdocksail/authority/_change.py
+++ b/src/burdocksail/authority/_change.py
@@ -39,6 +39,10 @@
 # A lost replica may be the only one with the last commits, so it counts among the known
 # replicas for this time; less than the 17 s that a change may take, see `_limits`.
 LOST_REPLICA_WINDOW = 10.0  # seconds
+INSPECT_INTERVAL = 0.3  # seconds
+RESTORED_AGE_LIMIT = 30.0  # seconds; age of the copy from which a store is restored
+# Seconds until a promotion that has been ordered takes effect; some hundred ms.
+PROMOTION_EFFECT_TIME = 1.5
 PROMOTION_EFFECT_LIMIT = 3.0  # seconds; an answered order takes a few hundred ms
 POLL_INTERVAL = 0.04  # seconds
 
@@ -99,6 +103,11 @@
         self._board.metrics.count("changes_begun")
         try:
             await self._record_change()
+            if self._service in self._leadership.unproven_groups:
+                present = await self._find_unchanged_primary()
+                if present is not None:
+                    self._open_group(present.id)
+                    return
             old_status = await self._fence_old_primary()
             chosen = await self._choose_server(old_status)
             await self._promote(chosen)
@@ -122,6 +131,56 @@
         await self._leadership.write_record()
         self._recorded_at = asked_at
 
+    async def _find_unchanged_primary(self) -> Upstream | None:
+        """Return the present primary of an unproven group, or None.
+
+        The servers are asked until one of them is proved to be primary, or until no
+        instance can hold a lease of an earlier leader. Such leases need not end before
+        the group is opened again: they name the present primary, or the group as
+        closed. They have to end before an order to promote, after None.
+        """
+        leadership = self._leadership
+        orders_effective_at = leadership.earlier_orders_end_at + PROMOTION_EFFECT_TIME
+        generation = self._set_state(GroupState.CLOSED)
+        while not leadership.ended:
+            asked_at = self._board.now()
+            present = await self._find_only_primary()
+            if present is None and not leadership.find_unconfirmed(generation):
+                return None
+            if present is not None and asked_at >= orders_effective_at:
+                self._log.info("primary has not changed", upstream=present.id)
+                return present
+            await asyncio.sleep(INSPECT_INTERVAL)
+        raise LeadershipLost("leadership ended during a change")
+
+    async def _find_only_primary(self) -> Upstream | None:
+        """Return the only primary, if all servers answer and none knows a later one."""
+        if not self._knows_all_servers():
+            return None
+        servers = self._board.directory.of_service(self._service)
+        answers = await self._inspector.inspect_all(servers, INSPECT_TIMEOUT)
+        primaries = [s for s in answers if s.status.is_primary]
+        if len(answers) < len(servers) or len(primaries) != 1:
+            return None
+        present = primaries[0]
+        is_latest = all(s.status.term <= present.status.term for s in answers)
+        if not is_latest or self._is_not_ready(present.upstream):
+            return None
+        return present.upstream
+
+    def _knows_all_servers(self) -> bool:
+        """Return whether every server that a lost leader could promote is listed.
+
+        Such a leader claimed after the copy of the store was taken. A server that has
+        left since then as planned is no longer primary, or another one has its term.
+        """
+        directory = self._board.directory
+        lost_since = self._board.store.timeline_since - RESTORED_AGE_LIMIT
+        return (
+            directory.first_timeline < self._leadership.timeline
+            and not directory.lost_of_service(self._service, lost_since)
+        )
+
     async def _fence_old_primary(self) -> ServerStatus | None:
         """Make sure that no work of the old primary is acknowledged any more.
 
@@ -356,8 +415,7 @@
             raise LeadershipLost("leadership ended during a change")
         # An earlier leader may have opened the group under the next change number.
         change = self._old_view.change + 2
-        leadership.changing.discard(self._service)
-        leadership.set_view(
+        leadership.open_group(
             GroupView(self._service, primary_id, change, GroupState.OPEN)
         )
         gap = self._board.now() - self._started_at
--- a/src/burdocksail/authority/_leadership.py
+++ b/src/burdocksail/authority/_leadership.py
@@ -81,8 +81,9 @@
         Services whose change was unfinished when this leadership began, so that a
         promotion order of an earlier leader may be in flight.
     unproven_groups : frozenset of str
-        Services whose recorded primary may have been replaced without a trace, as the
-        store was restored; they are among the inherited changes.
+        Services whose recorded primary may be the present one or may have been
+        replaced without a trace, as the store was restored; they are among the
+        inherited changes.
     earlier_orders_end_at : float
         Clock reading after which no promotion order of an earlier leader can arrive.
     """
@@ -105,11 +106,11 @@
         self.views: dict[str, GroupView] = {}
         self.changing = {s for s, g in record.groups.items() if g.changing}
         self.inherited_changes = frozenset(self.changing)
-        starts_timeline = record.starts_timeline(stored.timeline)
         self.unproven_groups = (
-            self.inherited_changes if starts_timeline else frozenset()
+            self.inherited_changes if record.restored else frozenset()
         )
         # Leaders of an earlier timeline could order nothing once it had ended.
+        starts_timeline = record.starts_timeline(stored.timeline)
         orders_since = (
             board.store.timeline_since if starts_timeline else self.started_at
         )
@@ -257,6 +258,14 @@
         self.unproven_groups |= {service}
         self.set_view(GroupView(service, primary_id, change, GroupState.CLOSED))
 
+    def open_group(self, view: GroupView) -> None:
+        """Open a group whose primary is known now, at the end of a change."""
+        service = view.service_name
+        self.changing.discard(service)
+        self.inherited_changes -= {service}
+        self.unproven_groups -= {service}
+        self.set_view(view)
+
     def find_unconfirmed(self, generation: int) -> list[str]:
         """Return the names of instances that may use a view older than `generation`."""
         return self.grantees.find_unconfirmed(
--- a/src/burdocksail/board/_fleet.py
+++ b/src/burdocksail/board/_fleet.py
@@ -104,6 +104,8 @@
     version : StoreVersion
         Version of the store at which the upstreams were last listed or seen to
         change; revision 0 before the first listing.
+    first_timeline : int
+        Timeline of the store in which the upstreams were first listed.
     missing_since : dict of str to float
         Upstreams whose entry is gone from the store or malformed, and when that
         was seen. They stay in use for a grace period, as an entry may lapse while
@@ -121,6 +123,7 @@
     upstreams: dict[str, Upstream] = field(default_factory=dict)
     stored: dict[str, StoredObject] = field(default_factory=dict)
     version: StoreVersion = StoreVersion()
+    first_timeline: int = 0
     missing_since: dict[str, float] = field(default_factory=dict)
     lost: dict[str, LostUpstream] = field(default_factory=dict)
     departed: dict[str, DepartedUpstream] = field(default_factory=dict)
--- a/src/burdocksail/fakes/restoration_test.py
+++ b/src/burdocksail/fakes/restoration_test.py
@@ -148,6 +148,59 @@
 
         run_scenario(scenario)
 
+    def test_unchanged_primary_is_used_again_before_all_leases_end(self):
+        """All leases end in an outage, and one instance never answers again.
+
+        Earlier fault: every group stayed closed until the leases that the silent
+        instance may have granted had ended, and for 3 s more.
+        """
+
+        async def scenario(fleet: Fleet) -> None:
+            fleet.kill("instance-3")
+            await fleet.restore_store(age=6.0, outage=13.0)
+            self.assertLess(await time_until_written(fleet, "instance-1"), 5.0)
+            self.assertEqual(fleet.database.promotions, [])
+            fleet.database.servers["server-0"].crash()
+            gap = await time_until_written(fleet, "instance-1")
+            self.assertEqual(len(fleet.database.promotions), 1)
+            self.assertLess(gap, 12.0)
+
+        run_scenario(scenario, instances=4, settle_time=6.0)
+
+    def test_primary_is_not_used_while_its_successor_may_be_unlisted(self):
+        """The successor and the leader that promoted it are partitioned from the rest.
+
+        The store has lost the change and the successor's entry.
+        """
+
+        async def scenario(fleet: Fleet) -> None:
+            servers = fleet.database.servers
+            leader = fleet.leader().board.member
+            old = servers["server-0"]
+            servers["server-1"].cut_from = {"server-2"}
+            servers["server-2"].cut_from = {"server-1"}
+            old.cut_from = {*fleet.clients, "server-1", "server-2"}
+            await asyncio.sleep(0.5)
+            await time_until_written(fleet, "instance-1")
+            current = fleet.database.current_primary(SERVICE)
+            others = {*fleet.clients, *servers} - {leader.name, current.upstream_id}
+            current.cut_from = others
+            fleet.without_heartbeat.add(current.upstream_id)
+            fleet.network.isolate(leader.host, fleet.hosts())
+            await fleet.restore_store(age=9.0, outage=4.0)
+            fleet.clients[leader.name].down = True
+            old.cut_from = {current.upstream_id}
+            name = next(n for n in fleet.instances if n != leader.name)
+            await time_until_written(fleet, name)
+            session = fleet.session(leader.name, ReadPolicy.PRIMARY)
+            reply = await session.execute(Run("late", "WRITE", True))
+            self.assertIsNotNone(reply.failure_kind)
+            replaced_at = fleet.database.promotions[0][0]
+            late = [e for e in old.log if e.committed_at > replaced_at]
+            self.assertEqual([e for e in late if e.position.term == 1], [])
+
+        run_scenario(scenario, settle_time=6.0)
+
     def test_claim_read_in_a_later_timeline_is_not_led(self):
         """The reply to the claim was lost, and the store was restored since."""
 
--- a/src/burdocksail/fleet/_tracking.py
+++ b/src/burdocksail/fleet/_tracking.py
@@ -356,6 +356,8 @@
         directory = self._board.directory
         if listing.version < directory.version:
             return  # A later list is known from a peer's snapshot.
+        if not directory.is_listed:
+            directory.first_timeline = listing.version.timeline
         present = {stored.name for stored in listing.items}
         for stored in listing.items:
             self._apply_upstream(stored, removed=False)
