Keep a request to take over until it may be claimed

The leader that does not reach a restored store asks another instance to claim. The first record of a timeline may be written 1 s after the restoration was seen; a request before that was dropped.

Evidence: the new test fails without the change.

--- a/src/burdocksail/authority/_claims.py
+++ b/src/burdocksail/authority/_claims.py
@@ -12,7 +12,11 @@
 import structlog
 
 from burdocksail.authority._leadership import Leadership
-from burdocksail.authority._limits import LEADER_TIMEOUT, PROMOTION_START_LIMIT
+from burdocksail.authority._limits import (
+    LEADER_TIMEOUT,
+    PROMOTION_START_LIMIT,
+    TAKEOVER_TIMEOUT,
+)
 from burdocksail.authority._record import (
     AuthorityRecord,
     GroupRecord,
@@ -86,7 +90,7 @@
         self._on_claimed = on_claimed
         self._get_leadership = get_leadership
         self._reports: dict[str, bool] = {}
-        self._takeover_requested = False
+        self._takeover_until = float("-inf")
         self._store_failures = 0
         self._record_seen = False
         self._started_at = board.now()
@@ -100,7 +104,7 @@
 
     def request_claim(self) -> None:
         """Claim the leadership because the leader asks for it."""
-        self._takeover_requested = True
+        self._takeover_until = self._board.now() + TAKEOVER_TIMEOUT
 
     async def run(self) -> None:
         """Claim the leadership whenever that is needed; does not return."""
@@ -108,7 +112,7 @@
             await asyncio.sleep(POLL_INTERVAL)
             leadership = self._get_leadership()
             if leadership is not None or self._board.stop.requested:
-                self._takeover_requested = False
+                self._takeover_until = float("-inf")
                 if leadership is not None and self._may_carry_over(leadership):
                     await self._claim()
                 continue
@@ -141,7 +145,7 @@
         return board.store.timeline_since + wait - board.now()
 
     async def _is_claim_needed(self) -> bool:
-        if self._takeover_requested:
+        if self._board.now() < self._takeover_until:
             return True
         authority = self._board.authority
         if authority.leader is None:
@@ -237,8 +241,8 @@
 
     async def _claim(self) -> None:
         board = self._board
-        takeover_requested, self._takeover_requested = self._takeover_requested, False
         asked_at = board.now()
+        takeover_until, self._takeover_until = self._takeover_until, float("-inf")
         known_epoch = board.authority.epoch
         try:
             name = make_authority_name(self._board.store.timeline)
@@ -246,6 +250,7 @@
             if stored is None:
                 record = await self._prepare_first_record()
                 if record is None:
+                    self._takeover_until = takeover_until
                     return
                 claimed = await self._store.create(
                     ObjectKind.FLEET, name, encode_record(record)
@@ -282,7 +287,9 @@
             return
         self._store_failures = 0
         self._log.info(
-            "leadership claimed", epoch=record.epoch, asked_over=takeover_requested
+            "leadership claimed",
+            epoch=record.epoch,
+            asked_over=asked_at < takeover_until,
         )
         self._on_claimed(claimed, asked_at)
 
--- a/src/burdocksail/fakes/restoration_test.py
+++ b/src/burdocksail/fakes/restoration_test.py
@@ -14,6 +14,7 @@
     run_scenario,
     silence_logs,
     time_until_written,
+    write,
 )
 from burdocksail.fakes._fleet import make_catalog
 from burdocksail.fakes._world import RESTORATION_FAULTS, World
@@ -218,6 +219,25 @@
 
         run_scenario(scenario)
 
+    def test_takeover_is_not_forgotten_until_it_may_be_claimed(self):
+        """The leader does not reach the restored store and asks another instance.
+
+        Earlier fault: the request was dropped, and the leader lease ended.
+        """
+
+        async def scenario(fleet: Fleet) -> None:
+            leader = fleet.leader()
+            name = next(n for n, i in fleet.instances.items() if i is not leader)
+            fleet.store.restore(age=2.0)
+            fleet.clients[leader.board.member.name].down = True
+            await asyncio.sleep(0.3)
+            fleet.instances[name]._authority._claimant.request_claim()
+            await asyncio.sleep(1.2)
+            self.assertTrue(fleet.instances[name].describe()["leading"])
+            self.assertTrue(await write(fleet, name))
+
+        run_scenario(scenario, settle_time=6.0)
+
     def test_leader_goes_on_after_a_restoration(self):
         """Groups stay open, and a primary lost soon after is replaced in seconds."""
 
