Do not wait for leases of instances that had left before the copy came back

Callers were refused at a lost primary for 12 s. An instance that had stopped and withdrawn its object is registered again by the copy, never answers, and counted as a possible holder of a lease from a leader whose claim is lost. The removal of its object is now remembered for 60 s; if the copy has the same run of it again, it is not waited for.

Evidence: the new test, 12.1 s until the first write without the change, under 6 s with it.

--- a/src/burdocksail/authority/_leadership.py
+++ b/src/burdocksail/authority/_leadership.py
@@ -521,7 +521,7 @@
         return all_monitor or address in self._monitors
 
     def _registered_addresses(self) -> set[tuple[str, int]]:
-        addresses = {m.address for m in self._board.members.registered.values()}
+        addresses = self._board.members.find_possible_grantees()
         return addresses - {self._board.member.address}
 
     def _peer_addresses(self) -> set[tuple[str, int]]:
--- a/src/burdocksail/board/_fleet.py
+++ b/src/burdocksail/board/_fleet.py
@@ -165,6 +165,9 @@
     unlisted_since : dict of str to float
         Instances that were registered before a restoration of the store and are
         not in its copy, and when that was seen. They may hold leases.
+    ended : dict of str to Member
+        Instances whose objects had been removed before a restoration of the store
+        and are in its copy again. They hold no lease.
     seeds : tuple of (str, int)
         Addresses from the settings; may be stale.
     alive_count : int
@@ -175,6 +178,7 @@
 
     registered: dict[str, Member] = field(default_factory=dict)
     unlisted_since: dict[str, float] = field(default_factory=dict)
+    ended: dict[str, Member] = field(default_factory=dict)
     seeds: tuple[tuple[str, int], ...] = ()
     alive_count: int = 1
     registered_count: int = 0
@@ -183,6 +187,14 @@
         """Return how many instances may hold connections to upstreams."""
         return max(1, self.alive_count, self.registered_count or len(self.registered))
 
+    def find_possible_grantees(self) -> set[tuple[str, int]]:
+        """Return the addresses of the registered instances that may hold a lease."""
+        return {
+            member.address
+            for name, member in self.registered.items()
+            if self.ended.get(name) != member
+        }
+
     def sample_addresses(
         self, own: tuple[str, int], rng: random.Random
     ) -> list[tuple[str, int]]:
--- a/src/burdocksail/fakes/restoration_test.py
+++ b/src/burdocksail/fakes/restoration_test.py
@@ -219,6 +219,24 @@
 
         run_scenario(scenario)
 
+    def test_instance_that_had_left_is_not_waited_for(self):
+        """The copy has its object again, and the primary crashes.
+
+        Earlier fault: leases that it might hold were waited for, for 12 s.
+        """
+
+        async def scenario(fleet: Fleet) -> None:
+            leader = fleet.leader().board.member.name
+            name = next(n for n in fleet.instances if n != leader)
+            await fleet.instances[name].stop(6.0)
+            fleet.kill(name)
+            await asyncio.sleep(1.0)
+            await fleet.restore_store(age=9.0, outage=1.0)
+            fleet.database.servers["server-0"].crash()
+            self.assertLess(await time_until_written(fleet, leader), 6.0)
+
+        run_scenario(scenario, settle_time=9.0)
+
     def test_takeover_is_not_forgotten_until_it_may_be_claimed(self):
         """The leader does not reach the restored store and asks another instance.
 
--- a/src/burdocksail/fleet/_tracking.py
+++ b/src/burdocksail/fleet/_tracking.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 from collections.abc import Callable
+from dataclasses import dataclass
 
 import structlog
 
@@ -11,6 +12,7 @@
     Blackboard,
     DepartedUpstream,
     LostUpstream,
+    Member,
     UnconfirmedEntry,
 )
 from burdocksail.catalog import Upstream, UpstreamState
@@ -51,6 +53,7 @@
 # store removes the entry of a server that is gone.
 RESTORED_ENTRY_GRACE = 6.0
 DEPARTED_RETENTION = 60.0  # seconds; longer than a restoration goes back
+REMOVED_RETENTION = 60.0  # seconds; longer than a restoration goes back
 UNLISTED_RETENTION = 15.0  # seconds; outlasts every lease of an earlier timeline
 
 
@@ -65,6 +68,14 @@
     return f"{AUTHORITY_NAME}.{timeline}"
 
 
+@dataclass(frozen=True, slots=True)
+class RemovedInstance:
+    """An instance whose object was removed; `removed_at` is a clock reading."""
+
+    member: Member
+    removed_at: float
+
+
 class StoreTracker:
     """Updates the blackboard with the configuration, upstreams and instances.
 
@@ -96,6 +107,7 @@
         self._random = random.Random(board.member.incarnation)
         self._fleet_list_due_at = float("-inf")
         self._fleet_timeline = 0
+        self._removed: dict[str, RemovedInstance] = {}
         self._peer_timeline = 0
         self._watches: dict[ObjectKind, asyncio.Future] = {}
         self._log = structlog.get_logger()
@@ -508,7 +520,11 @@
         listed = {stored.name for stored in listing.items}
         if listing.version.timeline > self._fleet_timeline:
             self._keep_unlisted(listed)
+            self._find_ended(listing)
             self._fleet_timeline = listing.version.timeline
+        else:
+            for name in members.registered.keys() - listed:
+                self._record_removed(name)
         members.registered = {
             name: member
             for name, member in members.registered.items()
@@ -530,6 +546,22 @@
             if name not in listed and name != own:
                 members.unlisted_since.setdefault(name, now)
 
+    def _find_ended(self, listing: Listing) -> None:
+        """Record which instances of the copy had been removed already."""
+        limit = self._board.now() - REMOVED_RETENTION
+        self._removed = {n: r for n, r in self._removed.items() if r.removed_at > limit}
+        members = {stored.name: decode_member(stored.spec) for stored in listing.items}
+        self._board.members.ended = {
+            name: removed.member
+            for name, removed in self._removed.items()
+            if members.get(name) == removed.member
+        }
+
+    def _record_removed(self, name: str) -> None:
+        member = self._board.members.registered.get(name)
+        if member is not None:
+            self._removed[name] = RemovedInstance(member, self._board.now())
+
     def _apply_fleet(self, stored: StoredObject, removed: bool) -> None:
         if stored.name == make_authority_name(stored.timeline):
             if not removed:
@@ -542,6 +574,7 @@
         self._board.members.unlisted_since.pop(stored.name, None)
         member = None if removed else decode_member(stored.spec)
         if member is None:
+            self._record_removed(stored.name)
             self._board.members.registered.pop(stored.name, None)
         else:
             self._board.members.registered[stored.name] = member
