Do not ask an unchanged primary to step down after a second leader change

Callers were refused for a change of primary that nothing called for. After a restoration of the store, a group that no lease proves is closed until its servers have been asked. Whether a group is one of these followed from the record being of a restored store; the leader after the first took such a group for one whose change was unfinished, asked its primary to step down and ordered a promotion.

Each group of the authority record now says whether it is unproven.

Evidence: the new test kills the first leader before it has asked; without the change one promotion is ordered for server-0, which had been primary all along. None with it.

--- a/src/burdocksail/authority/_leadership.py
+++ b/src/burdocksail/authority/_leadership.py
@@ -106,8 +106,8 @@
         self.views: dict[str, GroupView] = {}
         self.changing = {s for s, g in record.groups.items() if g.changing}
         self.inherited_changes = frozenset(self.changing)
-        self.unproven_groups = (
-            self.inherited_changes if record.restored else frozenset()
+        self.unproven_groups = frozenset(
+            service for service, group in record.groups.items() if group.unproven
         )
         # Leaders of an earlier timeline could order nothing once it had ended.
         starts_timeline = record.starts_timeline(stored.timeline)
@@ -468,7 +468,10 @@
     def _compose_record(self) -> AuthorityRecord:
         groups = {
             view.service_name: GroupRecord(
-                view.primary_id, view.change, view.service_name in self.changing
+                view.primary_id,
+                view.change,
+                view.service_name in self.changing,
+                view.service_name in self.unproven_groups,
             )
             for view in self.views.values()
         }
--- a/src/burdocksail/authority/_record.py
+++ b/src/burdocksail/authority/_record.py
@@ -36,11 +36,15 @@
     changing : bool
         Whether a change of primary is in progress or unfinished, so that a
         promotion order may be in flight.
+    unproven : bool
+        Whether it is not known if this server is still primary, as the store was
+        restored. Such a group is changing.
     """
 
     primary_id: str
     change: int
     changing: bool
+    unproven: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -148,12 +152,14 @@
         recorded = groups.get(service)
         if views_valid or recorded is None or recorded.change <= view.change:
             is_open = view.state is GroupState.OPEN
-            groups[service] = GroupRecord(view.primary_id, view.change, not is_open)
+            groups[service] = GroupRecord(
+                view.primary_id, view.change, not is_open, not is_open
+            )
     if not views_valid:
         first_change = count_from_timeline(timeline, CHANGES_PER_TIMELINE)
         groups = {
             service: GroupRecord(
-                group.primary_id, max(group.change, first_change), changing=True
+                group.primary_id, max(group.change, first_change), True, True
             )
             for service, group in groups.items()
         }
@@ -191,6 +197,7 @@
                 "primary_id": group.primary_id,
                 "change": group.change,
                 "changing": group.changing,
+                "unproven": group.unproven,
             }
             for service, group in record.groups.items()
         },
--- a/src/burdocksail/fakes/restoration_test.py
+++ b/src/burdocksail/fakes/restoration_test.py
@@ -168,6 +168,28 @@
 
         run_scenario(scenario, instances=4, settle_time=6.0)
 
+    def test_next_leader_does_not_replace_an_unchanged_primary(self):
+        """The first leader after the restoration is killed before it has asked.
+
+        Earlier fault: the next one took the primary for one that was being replaced,
+        and asked it to step down.
+        """
+
+        async def scenario(fleet: Fleet) -> None:
+            await fleet.restore_store(age=6.0, outage=13.0)
+            epochs = {i.board.authority.epoch for i in fleet.instances.values()}
+            while fleet.leader() is None or epochs == {1}:
+                await asyncio.sleep(0.1)
+                epochs = {i.board.authority.epoch for i in fleet.instances.values()}
+            await asyncio.sleep(1.2)
+            await kill_leader(fleet)
+            name = next(iter(fleet.instances))
+            self.assertLess(await time_until_written(fleet, name), 8.0)
+            self.assertTrue(fleet.database.servers["server-0"].is_primary)
+            self.assertEqual(fleet.database.promotions, [])
+
+        run_scenario(scenario, settle_time=6.0)
+
     def test_primary_is_not_used_while_its_successor_may_be_unlisted(self):
         """The successor and the leader that promoted it are partitioned from the rest.
 
