Add a group after a restoration although no server is listed as primary

Callers of a service were refused for good. The old primary had stepped down, and the restoration of the store lost both the change of primary and the record of the group.

In a timeline after the first, a service whose servers list no primary for 6 s now gets an unproven group, so that its servers are asked and one of them is promoted. The same holds after the first minutes of such a timeline, as the record may have been lost in it at any time.

--- a/src/burdocksail/authority/_watchdog.py
+++ b/src/burdocksail/authority/_watchdog.py
@@ -10,8 +10,8 @@
 from burdocksail.authority._follower import find_reached_services
 from burdocksail.authority._leadership import Leadership, LeadershipLost
 from burdocksail.board import Blackboard, GroupState, GroupView
-from burdocksail.catalog import UpstreamRole, UpstreamState
-from burdocksail.ports import Connector, Promoter, StoreUnavailable
+from burdocksail.catalog import Upstream, UpstreamRole, UpstreamState
+from burdocksail.ports import FIRST_TIMELINE, Connector, Promoter, StoreUnavailable
 
 POLL_INTERVAL = 0.1  # seconds
 RETRY_DELAY = 0.3  # seconds after a change that failed
@@ -41,6 +41,9 @@
 DRAINING_MAX_DELAY = 3.0  # seconds; a leaving server serves for several more
 
 MINORITY_DELAY = 6.0  # seconds; longer than most partitions
+# Seconds until a service without a listed primary is given one; entries that a
+# restoration of the store has lost are back sooner.
+NO_PRIMARY_DELAY = 6.0
 MISSING_SHARE = 0.5  # of the instances that report on the primary
 # Seconds. Meanwhile no new work starts at the primary, as instances send none to a
 # server without an entry.
@@ -75,6 +78,7 @@
         self._promoter = promoter
         self._running: dict[str, asyncio.Task] = {}
         self._pending: dict[str, PendingCause] = {}
+        self._without_primary_since: dict[str, float] = {}
         self._log = structlog.get_logger()
 
     async def run(self) -> None:
@@ -93,24 +97,31 @@
     def _add_new_groups(self) -> None:
         """Add each service that has no group yet and exactly one listed primary.
 
-        If the store was restored, a replaced primary may be listed as well, and the
-        record of the group may have been lost: its servers are asked first.
+        Once the store has been restored, the record of the group may have been lost,
+        and servers other than its primary may be listed as one, or none: the servers
+        are asked first.
         """
         catalog = self._board.catalog.catalog
         for service in () if catalog is None else catalog.services:
             if service in self._leadership.views or service in self._running:
                 continue
-            primaries = [
-                u
-                for u in self._board.directory.of_service(service)
-                if u.role is UpstreamRole.PRIMARY
-            ]
-            if primaries and self._leadership.is_restored:
-                self._leadership.add_unproven_group(service, primaries[0].id)
+            servers = self._board.directory.of_service(service)
+            primaries = [u for u in servers if u.role is UpstreamRole.PRIMARY]
+            if self._leadership.timeline > FIRST_TIMELINE:
+                self._add_unproven_group(service, primaries, servers)
             elif len(primaries) == 1:
                 task = asyncio.create_task(self._add_group(service, primaries[0].id))
                 self._register_task(service, task)
 
+    def _add_unproven_group(
+        self, service: str, primaries: list[Upstream], servers: list[Upstream]
+    ) -> None:
+        since = self._without_primary_since.setdefault(service, self._board.now())
+        if not primaries and self._board.now() < since + NO_PRIMARY_DELAY:
+            return
+        for upstream in [*primaries, *servers][:1]:
+            self._leadership.add_unproven_group(service, upstream.id)
+
     async def _add_group(self, service: str, primary_id: str) -> None:
         leadership = self._leadership
         closed = GroupView(service, primary_id, 1, GroupState.CLOSED)
--- a/src/burdocksail/fakes/restoration_test.py
+++ b/src/burdocksail/fakes/restoration_test.py
@@ -224,6 +224,25 @@
 
         run_scenario(scenario, settle_time=6.0)
 
+    def test_group_without_a_record_and_a_primary_gets_one(self):
+        """The old primary has stepped down when the change and its record are lost.
+
+        Earlier fault (world seed 2037): no server listed itself as primary, so that no
+        group was added.
+        """
+
+        async def scenario(fleet: Fleet) -> None:
+            for name in list(fleet.instances):
+                fleet.kill(name)
+            fleet.database.servers["server-0"].is_primary = False
+            fleet.store.restore(age=30.0)
+            fleet.publish(fleet.published)
+            for name in fleet.clients:
+                await fleet.start_instance(name)
+            self.assertLess(await time_until_written(fleet, "instance-1"), 20.0)
+
+        run_scenario(scenario)
+
     def test_claim_read_in_a_later_timeline_is_not_led(self):
         """The reply to the claim was lost, and the store was restored since."""
 
