Send no new work to a leaving primary that is not replaced in time

An instance now starts no work at a primary that it has known to be draining for 4 s. Transactions that are under way go on. A planned change begins within 3 s, so that callers see no difference where one can be made.

--- a/src/burdocksail/agent/resilience_test.py
+++ b/src/burdocksail/agent/resilience_test.py
@@ -96,6 +96,35 @@
         run_scenario(scenario)
 
 
+class LeavingPrimaryTest(unittest.TestCase):
+    def test_leaving_primary_gets_no_new_work_if_it_is_not_replaced_in_time(self):
+        """No change of primary can be recorded, as the store does not answer.
+
+        Earlier fault: the leaving primary got work for as long as the leases lasted.
+        """
+
+        async def scenario(fleet: Fleet) -> None:
+            # The followers learn of it from the store, the leader from them.
+            leader = fleet.leader()
+            follower = next(i for i in fleet.instances.values() if i is not leader)
+            fleet.clients[leader.board.member.name].down = True
+            fleet.draining.add("server-0")
+            while not follower.board.directory.draining_since:
+                await asyncio.sleep(0.01)
+            fleet.heartbeats_stopped = True
+            for client in fleet.clients.values():
+                client.down = True
+            self.assertTrue(await write(fleet, "instance-1"))
+            await asyncio.sleep(5.0)
+            for name, instance in fleet.instances.items():
+                board = instance.board
+                self.assertTrue(board.authority.has_valid_lease(board.now()))
+                self.assertFalse(await write(fleet, name))
+            self.assertTrue(fleet.database.servers["server-0"].is_primary)
+
+        run_scenario(scenario, instances=5)
+
+
 class RestartTest(unittest.TestCase):
     def test_restarted_instance_uses_no_withdrawn_route_and_no_departed_server(self):
         """The store does not answer it, so it starts from what its peers know.
--- a/src/burdocksail/board/_blackboard.py
+++ b/src/burdocksail/board/_blackboard.py
@@ -2,7 +2,11 @@
 
 from dataclasses import dataclass, field
 
-from burdocksail.board._authority import AuthoritySection, SamplesSection
+from burdocksail.board._authority import (
+    AuthoritySection,
+    GroupView,
+    SamplesSection,
+)
 from burdocksail.board._fleet import (
     CatalogSection,
     DirectorySection,
@@ -72,6 +76,18 @@
         """Return the clock reading in seconds."""
         return self.clock.read()
 
+    def get_view_for_new_work(self, service: str) -> GroupView | None:
+        """Return the view under which new work may go to the primary now.
+
+        None if the authority's view does not admit it, or if the primary has been
+        draining for so long that it may exit at any moment.
+        """
+        now = self.now()
+        view = self.authority.get_view_for_new_work(service, now)
+        if view is None or not self.directory.may_start_work(view.primary_id, now):
+            return None
+        return view
+
     def region_of(self, failure_domain: str) -> str:
         """Return the region of a failure domain, or its own name if none is known."""
         return self.regions.get(failure_domain, failure_domain)
--- a/src/burdocksail/board/_fleet.py
+++ b/src/burdocksail/board/_fleet.py
@@ -8,6 +8,9 @@
 
 # Enough that some remain when a region is lost; few, as each one loads the store.
 MAX_MONITORS = 8  # instances besides the leader
+# Seconds. Entries may be read 3 s late, and a draining server exits some seconds after
+# that; longer than a planned change of primary takes to begin.
+DRAINING_WORK_LIMIT = 4.0
 QUERY_FANOUT = 12  # instances; enough that one of them very probably knows the answer
 
 
@@ -110,6 +113,8 @@
         Upstreams whose entry is gone from the store or malformed, and when that
         was seen. They stay in use for a grace period, as an entry may lapse while
         its server is alive.
+    draining_since : dict of str to float
+        Upstreams that are draining, and when that was first seen.
     lost : dict of str to LostUpstream
         Upstreams whose entry stayed missing although they were not draining; they
         may hold commits that no other server has.
@@ -125,6 +130,7 @@
     version: StoreVersion = StoreVersion()
     first_timeline: int = 0
     missing_since: dict[str, float] = field(default_factory=dict)
+    draining_since: dict[str, float] = field(default_factory=dict)
     lost: dict[str, LostUpstream] = field(default_factory=dict)
     departed: dict[str, DepartedUpstream] = field(default_factory=dict)
     unconfirmed: dict[str, UnconfirmedEntry] = field(default_factory=dict)
@@ -140,6 +146,14 @@
             return self.version
         return StoreVersion(timeline)
 
+    def may_start_work(self, upstream_id: str, now: float) -> bool:
+        """Return whether a primary is not draining, or only for a short time.
+
+        That time, `DRAINING_WORK_LIMIT`, is for making another server primary.
+        """
+        since = self.draining_since.get(upstream_id)
+        return since is None or now < since + DRAINING_WORK_LIMIT
+
     def of_service(self, service: str) -> list[Upstream]:
         """Return the known upstreams of a service."""
         return [u for u in self.upstreams.values() if u.service == service]
--- a/src/burdocksail/fakes/_fleet.py
+++ b/src/burdocksail/fakes/_fleet.py
@@ -238,9 +238,7 @@
 
     def _is_serving(self, instance: InstanceProcess) -> bool:
         board = instance.board
-        admits_work = (
-            board.authority.get_view_for_new_work(SERVICE, board.now()) is not None
-        )
+        admits_work = board.get_view_for_new_work(SERVICE) is not None
         return instance.is_ready and admits_work
 
     async def _send_heartbeats_periodically(self) -> None:
--- a/src/burdocksail/fleet/_tracking.py
+++ b/src/burdocksail/fleet/_tracking.py
@@ -393,6 +393,10 @@
         directory.departed.pop(upstream.id, None)
         previous = directory.upstreams.get(upstream.id)
         directory.upstreams[upstream.id] = upstream
+        if upstream.state is UpstreamState.DRAINING:
+            directory.draining_since.setdefault(upstream.id, self._board.now())
+        else:
+            directory.draining_since.pop(upstream.id, None)
         if previous is None or _differs(previous, upstream):
             self._log.info(
                 "upstream changed",
@@ -503,6 +507,7 @@
         directory = self._board.directory
         now = self._board.now()
         directory.missing_since.pop(upstream_id, None)
+        directory.draining_since.pop(upstream_id, None)
         upstream = directory.upstreams.pop(upstream_id)
         timeline = directory.version.timeline
         directory.departed[upstream_id] = DepartedUpstream(upstream, timeline, now)
--- a/src/burdocksail/serving/_choice.py
+++ b/src/burdocksail/serving/_choice.py
@@ -40,7 +40,7 @@
     )
     while True:
         now = board.now()
-        view = board.authority.get_view_for_new_work(service, now)
+        view = board.get_view_for_new_work(service)
         if view is not None:
             upstream = board.directory.upstreams.get(view.primary_id)
             if upstream is not None and service not in board.authority.unreachable:
@@ -68,7 +68,10 @@
     view = board.authority.groups.get(request.route.service)
     if not board.authority.has_held_lease:
         return wait_until, Obstacle.STARTING
-    if view is not None and view.state is not GroupState.OPEN:
+    if view is not None and (
+        view.state is not GroupState.OPEN
+        or not board.directory.may_start_work(view.primary_id, board.now())
+    ):
         return wait_until, Obstacle.CHANGE_OF_PRIMARY
     if view is not None and board.now() < board.authority.lease_expires_at:
         return wait_until, Obstacle.PRIMARY_UNREACHABLE
--- a/src/burdocksail/serving/_statements.py
+++ b/src/burdocksail/serving/_statements.py
@@ -79,7 +79,7 @@
     floor = compute_floor(
         board, request.route, request.session.commits, request.arrived_at
     )
-    view = board.authority.get_view_for_new_work(request.route.service, board.now())
+    view = board.get_view_for_new_work(request.route.service)
     is_primary = view is not None and view.primary_id == pool.upstream.id
     if floor is None and not is_primary:
         pool.release(connection)
@@ -161,7 +161,7 @@
     except NoConnection as error:
         record_connection_failure(request, pool, error)
         return None
-    if board.authority.get_view_for_new_work(service, board.now()) != view:
+    if board.get_view_for_new_work(service) != view:
         pool.release(connection)
         return None
     in_flight = board.authority.in_flight
--- a/src/burdocksail/serving/_transactions.py
+++ b/src/burdocksail/serving/_transactions.py
@@ -239,7 +239,7 @@
         """
         board = self._board
         service = self._route.service
-        current = board.authority.get_view_for_new_work(service, board.now())
+        current = board.get_view_for_new_work(service)
         if view is not None:
             return None, current == view
         floor = compute_floor(
