Let the leader notice that its watches of the store are stuck

A configuration could come into force up to 25 s after it was acknowledged. If the watches that all instances have open lose their answers, as in a short silence of the store, none of them knew until its watch timed out, and no peer was ahead to tell of it.

The leader now watches for 2 s at a time, and lists again if a watch from before its leadership lasts for over 4 s; the other instances learn from its grants that it is ahead. This costs one instance 1.5 calls a second.

--- a/src/burdocksail/agent/resilience_test.py
+++ b/src/burdocksail/agent/resilience_test.py
@@ -14,6 +14,7 @@
     silence_logs,
     write,
 )
+from burdocksail.serving import CallerSession
 
 LONG_WORK = 0.8  # seconds; shorter than the statement timeout of 1 s
 
@@ -125,6 +126,28 @@
         run_scenario(scenario, instances=5)
 
 
+class StuckWatchTest(unittest.TestCase):
+    def test_configuration_is_in_force_in_time_although_all_watches_are_stuck(self):
+        """Earlier fault (world seed 20037): it was in force when the watches ended."""
+
+        async def scenario(fleet: Fleet) -> None:
+            for client in fleet.clients.values():
+                client.hangs = True
+            fleet.store.changed.notify()
+            await asyncio.sleep(0.1)
+            for client in fleet.clients.values():
+                client.hangs = False
+            await asyncio.sleep(3.0)
+            fleet.publish(make_catalog(2, ("added",)))
+            await asyncio.sleep(3.0)
+            for instance in fleet.instances.values():
+                session = CallerSession(instance.serving, "added")
+                reply = await session.execute(Run("r", "READ", False))
+                self.assertIsNone(reply.failure_kind)
+
+        run_scenario(scenario)
+
+
 class RestartTest(unittest.TestCase):
     def test_restarted_instance_uses_no_withdrawn_route_and_no_departed_server(self):
         """The store does not answer it, so it starts from what its peers know.
--- a/src/burdocksail/fleet/_tracking.py
+++ b/src/burdocksail/fleet/_tracking.py
@@ -39,6 +39,7 @@
 # Each watch is a billed call to the store, so it is long. If one gets stuck, peers
 # report the changes meanwhile.
 WATCH_TIMEOUT = 25.0  # seconds
+LEADER_WATCH_TIMEOUT = 2.0  # seconds; if all watches get stuck, the leader finds out
 # Instances register in bursts; after a pause one watch returns several events, and
 # each watch is a billed call.
 FLEET_WATCH_PAUSE = 0.3  # seconds between watches of the fleet's objects
@@ -76,6 +77,14 @@
     removed_at: float
 
 
+@dataclass(frozen=True, slots=True)
+class _RunningWatch:
+    """A watch that waits for an answer; `started_at` is a clock reading."""
+
+    answer: asyncio.Future
+    started_at: float
+
+
 class StoreTracker:
     """Updates the blackboard with the configuration, upstreams and instances.
 
@@ -109,7 +118,7 @@
         self._fleet_timeline = 0
         self._removed: dict[str, RemovedInstance] = {}
         self._peer_timeline = 0
-        self._watches: dict[ObjectKind, asyncio.Future] = {}
+        self._watches: dict[ObjectKind, _RunningWatch] = {}
         self._log = structlog.get_logger()
 
     async def watch_catalog(self) -> None:
@@ -153,6 +162,9 @@
             await asyncio.sleep(POLL_INTERVAL)
             # Another controller's call may have shown it while the watches wait.
             self._record_timeline()
+            if self._is_leader():
+                # Those begun before the leadership wait for longer.
+                self._restart_watches(min_age=2 * LEADER_WATCH_TIMEOUT)
             self._drop_expired()
             self._apply_unconfirmed()
             self._drop_unlisted()
@@ -246,17 +258,18 @@
         # The others accept entries of upstreams that may be some seconds stale,
         # which costs the store less.
         consistent = kind is not ObjectKind.UPSTREAMS or self._should_watch_fleet()
+        timeout = LEADER_WATCH_TIMEOUT if self._is_leader() else WATCH_TIMEOUT
         watch = asyncio.ensure_future(
-            self._store.watch(kind, version.revision, WATCH_TIMEOUT, consistent)
+            self._store.watch(kind, version.revision, timeout, consistent)
         )
-        self._watches[kind] = watch
+        self._watches[kind] = _RunningWatch(watch, self._board.now())
         try:
             await asyncio.wait((watch,))
         finally:
             del self._watches[kind]
             watch.cancel()
         if watch.cancelled():
-            raise HistoryLost("the store was restored during the watch")
+            raise HistoryLost("the watch was stopped")
         events = watch.result()
         self._record_timeline()
         if events.version.timeline != version.timeline:
@@ -268,9 +281,15 @@
         if version.timeline < self._board.store.timeline:
             raise StoreUnavailable("the answer is of an earlier timeline")
 
-    def _restart_watches(self) -> None:
+    def _restart_watches(self, min_age: float = 0.0) -> None:
+        """Stop the watches that have waited for `min_age` seconds, and list again."""
+        limit = self._board.now() - min_age
         for watch in self._watches.values():
-            watch.cancel()
+            if watch.started_at <= limit:
+                watch.answer.cancel()
+
+    def _is_leader(self) -> bool:
+        return self._board.authority.leader == self._board.member
 
     def _should_watch_fleet(self) -> bool:
         """Return whether this instance watches the fleet's objects.
