Let changes of the store of the fakes take effect late, also after a restoration

The store may execute an unanswered call seconds later if its condition still holds. After a restoration a revision that was given out again can make an old condition hold. The stand-in could not do that; random worlds with restorations draw it now.

--- a/src/burdocksail/fakes/_store.py
+++ b/src/burdocksail/fakes/_store.py
@@ -1,12 +1,14 @@
 """In-memory object store with injectable faults.
 
-Calls can fail, be delayed, hang or lose their answer, the history for watches can
-be discarded, and the store can be restored from an earlier copy of itself.
+Calls can fail, be delayed, hang, lose their answer or take effect late. The history
+for watches can be discarded, and the store can be restored from an earlier copy of
+itself.
 """
 
 import asyncio
+import contextlib
 from collections import Counter, deque
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -141,6 +143,9 @@
         Whether watches time out without an answer.
     lose_answers : bool
         Whether creations and replacements are applied but not answered.
+    change_delay : float
+        Seconds after which creations and replacements are applied, if their condition
+        still holds; they are not answered. 0 if they are applied at once.
     delay : float
         Seconds that a call takes.
     calls : Counter of ObjectKind
@@ -153,9 +158,11 @@
     down: bool = False
     hangs: bool = False
     lose_answers: bool = False
+    change_delay: float = 0.0
     delay: float = ANSWER_DELAY
     calls: Counter[ObjectKind] = field(default_factory=Counter)
     timeline: int = 0
+    _late_changes: set[asyncio.Task] = field(default_factory=set)
 
     async def list(self, kind: ObjectKind) -> Listing:
         """Return all objects of a kind and the current revision."""
@@ -219,11 +226,7 @@
         StoreConflict
             If it already exists.
         """
-        await self._begin_call(kind)
-        current = self.store.objects.get((kind, name))
-        if current is not None:
-            raise StoreConflict("the object already exists", current)
-        return self._answer(self.store.put(kind, name, spec))
+        return await self._change(kind, lambda: self._create(kind, name, spec))
 
     async def replace(
         self, kind: ObjectKind, name: str, spec: Mapping[str, Any], revision: int | None
@@ -235,13 +238,9 @@
         StoreConflict
             If it has another revision or does not exist.
         """
-        await self._begin_call(kind)
-        current = self.store.objects.get((kind, name))
-        if current is None or (revision is not None and current.revision != revision):
-            raise StoreConflict(
-                "the object is missing or has another revision", current
-            )
-        return self._answer(self.store.put(kind, name, spec))
+        return await self._change(
+            kind, lambda: self._replace(kind, name, spec, revision)
+        )
 
     async def delete(self, kind: ObjectKind, name: str, revision: int) -> None:
         """Remove an object if its revision is `revision`.
@@ -271,7 +270,39 @@
         if self.down:
             raise StoreUnavailable("the store is down")
 
-    def _answer(self, stored: StoredObject) -> StoredObject:
+    async def _change(
+        self, kind: ObjectKind, change: Callable[[], StoredObject]
+    ) -> StoredObject:
+        await self._begin_call(kind)
+        if self.change_delay > 0.0:
+            task = asyncio.create_task(self._change_late(change))
+            self._late_changes.add(task)
+            task.add_done_callback(self._late_changes.discard)
+            raise StoreUnavailable("no answer", outcome_unknown=True)
+        stored = change()
         if self.lose_answers:
             raise StoreUnavailable("no answer", outcome_unknown=True)
         return stored
+
+    async def _change_late(self, change: Callable[[], StoredObject]) -> None:
+        await asyncio.sleep(self.change_delay)
+        with contextlib.suppress(StoreConflict):
+            change()
+
+    def _create(
+        self, kind: ObjectKind, name: str, spec: Mapping[str, Any]
+    ) -> StoredObject:
+        current = self.store.objects.get((kind, name))
+        if current is not None:
+            raise StoreConflict("the object already exists", current)
+        return self.store.put(kind, name, spec)
+
+    def _replace(
+        self, kind: ObjectKind, name: str, spec: Mapping[str, Any], revision: int | None
+    ) -> StoredObject:
+        current = self.store.objects.get((kind, name))
+        if current is None or (revision is not None and current.revision != revision):
+            raise StoreConflict(
+                "the object is missing or has another revision", current
+            )
+        return self.store.put(kind, name, spec)
--- a/src/burdocksail/fakes/_world.py
+++ b/src/burdocksail/fakes/_world.py
@@ -389,6 +389,15 @@
         await asyncio.sleep(length)
         client.lose_answers = False
 
+    async def delay_store_changes(self, length: float) -> None:
+        """Apply changes of some or all instances some seconds late, unanswered."""
+        names = sorted(self.fleet.clients)
+        for name in self.random.sample(names, self.random.randint(1, len(names))):
+            self.fleet.clients[name].change_delay = self.random.uniform(1.0, 6.0)
+        await asyncio.sleep(length / 2)
+        for name in names:
+            self.fleet.clients[name].change_delay = 0.0
+
     async def forget_history(self, length: float) -> None:
         """Discard the history of changes that the store retains."""
         self.fleet.store.forget_history()
@@ -511,6 +520,7 @@
     World.cut_instance,
     World.cut_store,
     World.lose_store_answers,
+    World.delay_store_changes,
     World.hang_watches,
     World.crash_primary,
     World.crash_primary,
