Count the delay of a planned change from when the primary was seen to leave

Callers were refused for up to 9 s longer than needed at a primary that leaves: each new leader put the change of primary off for 3 s of its own, in the hope that all earlier leases end first.

--- a/src/burdocksail/agent/resilience_test.py
+++ b/src/burdocksail/agent/resilience_test.py
@@ -3,6 +3,7 @@
 import asyncio
 import unittest
 
+from burdocksail.board import GroupState
 from burdocksail.catalog import ReadPolicy, UpstreamState
 from burdocksail.core import FailureKind, Run
 from burdocksail.fakes import (
@@ -125,6 +126,25 @@
 
         run_scenario(scenario, instances=5)
 
+    def test_change_from_a_leaving_primary_is_not_delayed_anew_by_each_leader(self):
+        """Earlier fault: its delay began again, though the primary left meanwhile."""
+
+        async def scenario(fleet: Fleet) -> None:
+            leader = fleet.leader()
+            follower = next(i for i in fleet.instances.values() if i is not leader)
+            board = follower.board
+            fleet.clients[leader.board.member.name].down = True
+            fleet.draining.add("server-0")
+            while not board.directory.draining_since:
+                await asyncio.sleep(0.01)
+            fleet.kill(leader.board.member.name)
+            while board.authority.groups[SERVICE].state is GroupState.OPEN:
+                await asyncio.sleep(0.01)
+            since = board.directory.draining_since["server-0"]
+            self.assertLess(board.now() - since, 3.5)
+
+        run_scenario(scenario, instances=5)
+
 
 class StuckWatchTest(unittest.TestCase):
     def test_configuration_is_in_force_in_time_although_all_watches_are_stuck(self):
--- a/src/burdocksail/authority/_watchdog.py
+++ b/src/burdocksail/authority/_watchdog.py
@@ -37,7 +37,7 @@
 
 # A planned change keeps the group closed until no instance can hold a lease of an
 # earlier leader. So the change from a leaving primary (its entry is in state DRAINING)
-# is put off until then, for at most this time, while that primary still serves.
+# is put off until then, for at most this time since the entry was seen to change.
 DRAINING_MAX_DELAY = 3.0  # seconds; a leaving server serves for several more
 
 MINORITY_DELAY = 6.0  # seconds; longer than most partitions
@@ -190,7 +190,7 @@
         if upstream is None:
             return self._assess_missing(view)
         if upstream.state is UpstreamState.DRAINING:
-            return self._wait_for_earlier_leases(view, Cause.LEAVING)
+            return self._assess_leaving(view)
         return self._assess_reachability(view)
 
     def _assess_missing(self, view: GroupView) -> Cause:
@@ -255,10 +255,12 @@
             if service in unreachable or service in reached
         ]
 
-    def _wait_for_earlier_leases(self, view: GroupView, cause: Cause) -> Cause:
-        if self._leadership.earlier_leases_ended:
-            return cause
-        return self._debounce(view, cause, DRAINING_MAX_DELAY)
+    def _assess_leaving(self, view: GroupView) -> Cause:
+        since = self._board.directory.draining_since[view.primary_id]
+        overdue = self._board.now() >= since + DRAINING_MAX_DELAY
+        if overdue or self._leadership.earlier_leases_ended:
+            return Cause.LEAVING
+        return Cause.NONE
 
     def _debounce(self, view: GroupView, cause: Cause, delay: float) -> Cause:
         """Return `cause` once it has been the same for `delay` seconds."""
