Replace a primary that has left at once

Callers were refused for 3 s after a leaving primary had gone. If no change of primary was possible while it was draining, the removal of its entry was taken for one that lapses while its server is alive, as most instances had reached it a moment before. A server that was draining does not come back.

--- a/src/burdocksail/agent/resilience_test.py
+++ b/src/burdocksail/agent/resilience_test.py
@@ -13,8 +13,10 @@
     make_catalog,
     run_scenario,
     silence_logs,
+    time_until_written,
     write,
 )
+from burdocksail.ports import ObjectKind
 from burdocksail.serving import CallerSession
 
 LONG_WORK = 0.8  # seconds; shorter than the statement timeout of 1 s
@@ -145,6 +147,24 @@
 
         run_scenario(scenario, instances=5)
 
+    def test_primary_that_has_left_is_replaced_at_once(self):
+        """No change was possible while it was leaving.
+
+        Earlier fault: its entry was taken for one that lapsed, as most instances had
+        reached it shortly before.
+        """
+
+        async def scenario(fleet: Fleet) -> None:
+            others = ("server-1", "server-2")
+            fleet.draining.update(("server-0", *others))
+            await asyncio.sleep(5.0)
+            fleet.draining.difference_update(others)
+            fleet.database.servers["server-0"].crash()
+            fleet.store.remove(ObjectKind.UPSTREAMS, "server-0")
+            self.assertLess(await time_until_written(fleet, "instance-1"), 2.0)
+
+        run_scenario(scenario)
+
 
 class StuckWatchTest(unittest.TestCase):
     def test_configuration_is_in_force_in_time_although_all_watches_are_stuck(self):
--- a/src/burdocksail/authority/_watchdog.py
+++ b/src/burdocksail/authority/_watchdog.py
@@ -196,8 +196,12 @@
     def _assess_missing(self, view: GroupView) -> Cause:
         """Return the cause for replacing a primary whose entry in the store is gone.
 
-        A server that cannot reach the store may still answer most instances.
+        A server that cannot reach the store may still answer most instances, but not
+        one that was draining before.
         """
+        departed = self._board.directory.departed.get(view.primary_id)
+        if departed is not None and departed.upstream.state is UpstreamState.DRAINING:
+            return Cause.GONE
         if self._find_unreachable_share(view) > MISSING_SHARE:
             return self._debounce(view, Cause.GONE, self._find_unreachable_delay())
         return self._debounce(view, Cause.MISSING, MISSING_DELAY)
