Answer requests that arrive late in a stop before the process ends

Callers lost requests around a planned stop: those sent 4.5 s after SIGTERM on sessions that were not idle waited for servers that did not answer, and the process ended first. The statement timeout alone limited them. They now have to be answered, with the true outcome, by the time at which sessions are closed.

--- a/src/burdocksail/agent/_instance.py
+++ b/src/burdocksail/agent/_instance.py
@@ -147,8 +147,9 @@
     async def stop(self, grace: float) -> None:
         """Stop within `grace` seconds.
 
-        Open transactions have half of this time. Requests may run until
-        `EXIT_MARGIN` / 2 before the end of the grace period.
+        Open transactions have half of this time. Requests are answered by
+        `EXIT_MARGIN` before the end of the grace period; one that was already running
+        when the stop was requested may take half of that longer.
 
         Callers keep arriving until the load balancer has taken this instance out
         of rotation. Idle sessions are closed only after that, so that they do not
@@ -160,6 +161,7 @@
         started_at = board.now()
         board.stop.requested_at = started_at
         board.stop.transactions_end_at = started_at + grace / 2
+        board.stop.requests_end_at = started_at + grace - EXIT_MARGIN
         board.changed.notify()
         self._log.info("stopping", sessions=len(self.sessions), grace=grace)
         self._authority.request_takeover()
--- a/src/burdocksail/agent/resilience_test.py
+++ b/src/burdocksail/agent/resilience_test.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
 from burdocksail.board import GroupState
 from burdocksail.catalog import ReadPolicy, UpstreamState
@@ -166,6 +167,32 @@
         run_scenario(scenario)
 
 
+class StopTest(unittest.TestCase):
+    def test_request_late_in_a_stop_is_answered_before_the_process_ends(self):
+        """No server answers it, and it may otherwise wait for 1 s."""
+
+        async def scenario(fleet: Fleet) -> None:
+            instance = fleet.instances["instance-1"]
+            instance.sessions.add(mock.Mock(is_idle=False))
+            started_at = instance.board.now()
+            stop = asyncio.create_task(instance.stop(6.0))
+            await asyncio.sleep(5.1)
+            for server in fleet.database.servers.values():
+                server.cut_from = {"instance-1"}
+            replies = await asyncio.gather(
+                *(
+                    fleet.session("instance-1", policy).execute(Run("r", text, writes))
+                    for policy in ReadPolicy
+                    for text, writes in (("READ", False), ("WRITE", True))
+                )
+            )
+            self.assertLess(instance.board.now() - started_at, 5.6)
+            self.assertNotIn(None, [reply.failure_kind for reply in replies])
+            await stop
+
+        run_scenario(scenario)
+
+
 class StuckWatchTest(unittest.TestCase):
     def test_configuration_is_in_force_in_time_although_all_watches_are_stuck(self):
         """Earlier fault (world seed 20037): it was in force when the watches ended."""
--- a/src/burdocksail/board/_blackboard.py
+++ b/src/burdocksail/board/_blackboard.py
@@ -29,10 +29,13 @@
         Clock reading at which the stop was requested.
     transactions_end_at : float
         Clock reading at which transactions that are still open are ended.
+    requests_end_at : float
+        Clock reading by which every request has to be answered.
     """
 
     requested_at: float | None = None
     transactions_end_at: float = float("inf")
+    requests_end_at: float = float("inf")
 
     @property
     def requested(self) -> bool:
--- a/src/burdocksail/serving/_choice.py
+++ b/src/burdocksail/serving/_choice.py
@@ -35,8 +35,9 @@
     """
     board = request.board
     service = request.route.service
-    wait_until = (
-        request.arrived_at + request.route.statement_timeout * PRIMARY_WAIT_SHARE
+    wait_until = min(
+        request.arrived_at + request.route.statement_timeout * PRIMARY_WAIT_SHARE,
+        request.deadline,
     )
     while True:
         now = board.now()
--- a/src/burdocksail/serving/_requests.py
+++ b/src/burdocksail/serving/_requests.py
@@ -83,15 +83,17 @@
     @property
     def deadline(self) -> float:
         """Return the clock reading at which the statement times out."""
-        return self.arrived_at + self.route.statement_timeout
+        return min(
+            self.arrived_at + self.route.statement_timeout,
+            self.board.stop.requests_end_at,
+        )
 
     @property
     def retry_deadline(self) -> float:
         """Return the clock reading after which a failed attempt is not retried."""
         limit = self.route.target_latency * RETRY_SHARE
-        return self.arrived_at + min(
-            limit, self.route.statement_timeout * PRIMARY_WAIT_SHARE
-        )
+        limit = min(limit, self.route.statement_timeout * PRIMARY_WAIT_SHARE)
+        return min(self.arrived_at + limit, self.deadline)
 
     @property
     def time_left(self) -> float:
--- a/src/burdocksail/serving/_statements.py
+++ b/src/burdocksail/serving/_statements.py
@@ -155,7 +155,7 @@
     board = request.board
     service = request.route.service
     request.attempts += 1
-    wait = min(request.retry_deadline, request.deadline) - board.now()
+    wait = request.retry_deadline - board.now()
     try:
         connection = await pool.acquire(request.order, wait)
     except NoConnection as error:
--- a/src/burdocksail/serving/_transactions.py
+++ b/src/burdocksail/serving/_transactions.py
@@ -95,7 +95,7 @@
         """
         binding = self._binding or await self._begin(command)
         self._has_written = self._has_written or writes
-        deadline = self._board.now() + self._route.statement_timeout
+        deadline = self._find_deadline()
         for attempts in itertools.count(2):
             reply = await self._exchange(binding, command, deadline)
             if reply.status is ReplyStatus.DONE:
@@ -127,7 +127,7 @@
         if self._has_written and not self._is_result_valid(binding):
             await self.roll_back()
             raise self._make_aborted("the primary may have been replaced")
-        deadline = self._board.now() + self._route.statement_timeout
+        deadline = self._find_deadline()
         for attempts in itertools.count(2):
             reply = await self._attempt_commit(binding, command, deadline)
             if reply is not None:
@@ -266,6 +266,11 @@
             # The connection is closed, so the server rolls the transaction back.
             raise self._make_aborted(f"server lost: {error}") from error
 
+    def _find_deadline(self) -> float:
+        """Return the clock reading at which a statement that begins now times out."""
+        limit = self._board.now() + self._route.statement_timeout
+        return min(limit, self._board.stop.requests_end_at)
+
     async def _back_off(self, attempts: int, deadline: float) -> None:
         """Wait before a statement that the server rejected is sent again.
 
