Log why a present primary is not proved

After a restoration of the store a group can stay closed for 12 s because its servers do not prove who is primary. The logs did not say what was missing: a server that does not answer or may be unlisted, several primaries or none, a later term, a leaving primary. A line is written whenever the reason changes. No decision has changed.

--- a/src/burdocksail/authority/_change.py
+++ b/src/burdocksail/authority/_change.py
@@ -78,6 +78,7 @@
         self._old_view = leadership.views[service]
         self._started_at = board.now()
         self._recorded_at = board.now()
+        self._doubt = ""
         self._log = structlog.get_logger().bind(
             service=service, epoch=leadership.epoch, fence=leadership.fencing_token
         )
@@ -156,18 +157,31 @@
     async def _find_only_primary(self) -> Upstream | None:
         """Return the only primary, if all servers answer and none knows a later one."""
         if not self._knows_all_servers():
+            self._log_doubt("a server may be unlisted")
             return None
         servers = self._board.directory.of_service(self._service)
         answers = await self._inspector.inspect_all(servers, INSPECT_TIMEOUT)
         primaries = [s for s in answers if s.status.is_primary]
-        if len(answers) < len(servers) or len(primaries) != 1:
+        if len(answers) < len(servers):
+            self._log_doubt("a server does not answer")
+            return None
+        if len(primaries) != 1:
+            self._log_doubt(f"{len(primaries)} servers are primary")
             return None
         present = primaries[0]
-        is_latest = all(s.status.term <= present.status.term for s in answers)
-        if not is_latest or self._is_not_ready(present.upstream):
+        if any(s.status.term > present.status.term for s in answers):
+            self._log_doubt("another server knows a later term")
+            return None
+        if self._is_not_ready(present.upstream):
+            self._log_doubt("the primary is leaving")
             return None
         return present.upstream
 
+    def _log_doubt(self, doubt: str) -> None:
+        if doubt != self._doubt:
+            self._doubt = doubt
+            self._log.info("present primary not proved", doubt=doubt)
+
     def _knows_all_servers(self) -> bool:
         """Return whether every server that a lost leader could promote is listed.
 
