Do not wait for leases of an instance that stopped while the store was away

Callers were refused for 12 s where a primary had to be replaced after a restoration of the store: an instance that had stopped as planned during the outage could not withdraw its registration, never answers, and counted as a possible holder of a lease.

The notice by which an instance gives up its lease now goes to all instances, which remember it as stopped as long as it is registered; the leader removes its object. An instance that has given up its lease neither asks for another nor accepts one.

--- a/src/burdocksail/authority/_controller.py
+++ b/src/burdocksail/authority/_controller.py
@@ -26,6 +26,7 @@
     Renew,
     SnapshotExchange,
     TakeOver,
+    make_object_name,
 )
 from burdocksail.ports import (
     Connector,
@@ -182,6 +183,10 @@
     def _handle_farewell(self, message: Farewell, address: Address) -> None:
         if self._leadership is not None:
             self._leadership.grantees.drop(message.member)
+        members = self._board.members
+        name = make_object_name(message.member)
+        if members.registered.get(name) == message.member:
+            members.ended[name] = message.member
 
     def _end_if_superseded(self) -> None:
         leadership = self._leadership
--- a/src/burdocksail/authority/_follower.py
+++ b/src/burdocksail/authority/_follower.py
@@ -59,6 +59,7 @@
         self._snapshots = snapshots
         self._random = random.Random(board.member.incarnation)
         self._adopted_at = float("-inf")
+        self._has_released = False
         self._log = structlog.get_logger()
 
     async def keep_lease(self) -> None:
@@ -68,7 +69,12 @@
             await asyncio.sleep(RENEW_INTERVAL)
 
     def send_renewal(self) -> None:
-        """Ask the leader to extend the lease, or other instances who the leader is."""
+        """Ask the leader to extend the lease, or other instances who the leader is.
+
+        Does nothing once the lease has been released.
+        """
+        if self._has_released:
+            return
         board = self._board
         leader = board.authority.leader
         renewal = self._make_renewal()
@@ -201,9 +207,12 @@
             opens_not_before[view.service_name] = now + wait
 
     def extend_lease(self, until: float) -> None:
-        """Extend the lease until a reading of this instance's clock."""
+        """Extend the lease until a reading of this instance's clock.
+
+        A lease that has been released is not extended.
+        """
         authority = self._board.authority
-        if until > authority.lease_expires_at:
+        if until > authority.lease_expires_at and not self._has_released:
             had_expired = authority.lease_expires_at < self._board.now()
             authority.lease_expires_at = until
             authority.has_held_lease = True
@@ -212,14 +221,15 @@
                 self._board.changed.notify()
 
     def release_lease(self) -> None:
-        """Drop the lease and notify the leader.
+        """Drop the lease for good and notify the other instances.
 
-        The leader then does not wait for the lease to expire.
+        Neither the present leader nor a later one then waits for it to expire.
         """
-        authority = self._board.authority
-        authority.lease_expires_at = float("-inf")
-        if authority.leader is not None:
-            self._peers.send(authority.leader.address, Farewell(self._board.member))
+        self._has_released = True
+        board = self._board
+        board.authority.lease_expires_at = float("-inf")
+        for address in sorted(board.members.addresses() - {board.member.address}):
+            self._peers.send(address, Farewell(board.member))
 
     def _make_renewal(self) -> Renew:
         board = self._board
--- a/src/burdocksail/authority/_leadership.py
+++ b/src/burdocksail/authority/_leadership.py
@@ -486,17 +486,18 @@
         )
 
     async def _remove_silent_instances(self) -> None:
-        """Remove the objects of instances not heard from for long.
+        """Remove the objects of instances that have stopped or were silent for long.
 
-        A new leader waits as long first, since it has heard from none of them.
+        A new leader has heard from none of them, so their silence counts from the
+        beginning of its leadership.
         """
+        members = self._board.members
         limit = self._board.now() - SILENT_INSTANCE_EXPIRY
-        if self.ended or self.started_at > limit:
-            return
         heard = {a: g.heard_at for a, g in self.grantees.by_address.items()}
-        for name, member in list(self._board.members.registered.items()):
-            silent = heard.get(member.address, limit - 1) < limit
-            if silent and member != self._board.member:
+        for name, member in list(members.registered.items()):
+            silent = heard.get(member.address, self.started_at) < limit
+            stopped = members.ended.get(name) == member
+            if (silent or stopped) and member != self._board.member and not self.ended:
                 await self._remove_instance(name)
 
     async def _remove_instance(self, name: str) -> None:
@@ -508,7 +509,7 @@
             self._log.info("instance not removed", name=name, reason=str(error))
             return
         self._board.members.registered.pop(name, None)
-        self._log.info("silent instance removed", name=name)
+        self._log.info("instance removed", name=name)
 
     def _request_takeover_if_needed(self) -> None:
         board = self._board
--- a/src/burdocksail/board/_fleet.py
+++ b/src/burdocksail/board/_fleet.py
@@ -180,8 +180,9 @@
         Instances that were registered before a restoration of the store and are
         not in its copy, and when that was seen. They may hold leases.
     ended : dict of str to Member
-        Instances whose objects had been removed before a restoration of the store
-        and are in its copy again. They hold no lease.
+        Instances that are registered although they have stopped: they could not remove
+        their objects, or a restoration of the store has brought these back. They hold
+        no lease.
     seeds : tuple of (str, int)
         Addresses from the settings; may be stale.
     alive_count : int
--- a/src/burdocksail/fakes/restoration_test.py
+++ b/src/burdocksail/fakes/restoration_test.py
@@ -278,6 +278,26 @@
 
         run_scenario(scenario, settle_time=9.0)
 
+    def test_instance_that_stopped_in_an_outage_is_not_waited_for(self):
+        """It could not withdraw its registration, and the store is restored then.
+
+        Earlier fault: no primary was replaced until every lease that it could have
+        granted had ended.
+        """
+
+        async def scenario(fleet: Fleet) -> None:
+            leader = fleet.leader().board.member.name
+            name = next(n for n in fleet.instances if n != leader)
+            fleet.clients[name].down = True
+            await fleet.instances[name].stop(4.0)
+            fleet.kill(name)
+            await fleet.restore_store(age=2.0, outage=0.5)
+            fleet.database.servers["server-0"].crash()
+            remaining = next(iter(fleet.instances))
+            self.assertLess(await time_until_written(fleet, remaining), 7.0)
+
+        run_scenario(scenario, instances=4, settle_time=6.0)
+
     def test_takeover_is_not_forgotten_until_it_may_be_claimed(self):
         """The leader does not reach the restored store and asks another instance.
 
--- a/src/burdocksail/fleet/__init__.py
+++ b/src/burdocksail/fleet/__init__.py
@@ -24,6 +24,7 @@
     INSTANCE_PREFIX,
     Registration,
     encode_member,
+    make_object_name,
 )
 from burdocksail.fleet._snapshots import SnapshotExchange
 from burdocksail.fleet._tracking import (
@@ -60,4 +61,5 @@
     "encode_message",
     "encode_snapshot",
     "make_authority_name",
+    "make_object_name",
 ]
--- a/src/burdocksail/fleet/_tracking.py
+++ b/src/burdocksail/fleet/_tracking.py
@@ -571,18 +571,23 @@
                 members.unlisted_since.setdefault(name, now)
 
     def _find_ended(self, listing: Listing) -> None:
-        """Record which instances of the copy had been removed already."""
+        """Record which instances of the copy had stopped already."""
+        members = self._board.members
         limit = self._board.now() - REMOVED_RETENTION
         self._removed = {n: r for n, r in self._removed.items() if r.removed_at > limit}
-        members = {stored.name: decode_member(stored.spec) for stored in listing.items}
-        self._board.members.ended = {
-            name: removed.member
-            for name, removed in self._removed.items()
-            if members.get(name) == removed.member
+        stopped = {name: removed.member for name, removed in self._removed.items()}
+        stopped.update(members.ended)
+        listed = {stored.name: decode_member(stored.spec) for stored in listing.items}
+        members.ended = {
+            name: member
+            for name, member in stopped.items()
+            if listed.get(name) == member
         }
 
     def _record_removed(self, name: str) -> None:
-        member = self._board.members.registered.get(name)
+        members = self._board.members
+        members.ended.pop(name, None)
+        member = members.registered.get(name)
         if member is not None:
             self._removed[name] = RemovedInstance(member, self._board.now())
 
