Do not displace a leader that is found while peers are asked

Callers were refused for longer than needed after a restoration of the store. Several instances claim at about the same time then; one that had begun to ask its peers about the silence of the old leader went on to claim over the new one, which it had found meanwhile but not heard from. Each change of leader makes an unfinished change of primary wait anew.

Evidence: the new test fails without the change.

--- a/src/burdocksail/authority/_claims.py
+++ b/src/burdocksail/authority/_claims.py
@@ -186,8 +186,10 @@
 
         If none answers, ask via the store once the silence has lasted for
         `ISOLATION_TIMEOUT`. True without asking if no peer but the leader is known.
+        False if another leader is found meanwhile, as its silence has only begun.
         """
         board = self._board
+        epoch = board.authority.epoch
         self._reports.clear()
         query = LeaderQuery(board.member, board.authority.epoch)
         leader = board.authority.leader
@@ -197,13 +199,15 @@
         for address in others:
             self._peers.send(address, query)
         await asyncio.sleep(REPORT_WAIT)
-        if self._leader_silence() < silence:
+        if self._leader_silence() < silence or board.authority.epoch != epoch:
             return False
         if self._reports:
             return not any(self._reports.values())
         if not others:
             return True
-        return silence > ISOLATION_TIMEOUT and await self._is_challenge_unanswered()
+        if silence <= ISOLATION_TIMEOUT or not await self._is_challenge_unanswered():
+            return False
+        return board.authority.epoch == epoch
 
     async def answer_challenge(self, stored: StoredObject) -> None:
         """Answer a challenge by deleting it, which says that there is a leader."""
--- a/src/burdocksail/authority/leadership_test.py
+++ b/src/burdocksail/authority/leadership_test.py
@@ -14,6 +14,7 @@
     silence_logs,
     time_until_written,
 )
+from burdocksail.fleet import LeaderReport
 
 
 def setUpModule():
@@ -198,6 +199,26 @@
 
         run_scenario(scenario)
 
+    def test_leader_found_while_peers_are_asked_is_not_displaced(self):
+        """The peers do not hear from the new leader yet either."""
+
+        async def scenario(fleet: Fleet) -> None:
+            instance = fleet.instances["instance-2"]
+            others = [i.board.member for i in fleet.instances.values()]
+            others.remove(instance.board.member)
+            for member in others:
+                fleet.kill(member.name)
+            controller = instance._authority
+            claimant = controller._claimant
+            asking = asyncio.create_task(claimant._do_peers_confirm_silence(0.0))
+            await asyncio.sleep(0.1)
+            epoch = instance.board.authority.epoch
+            claimant.handle_report(LeaderReport(others[0], epoch, False))
+            controller._follower.adopt_leader(epoch + 1, others[1])
+            self.assertFalse(await asking)
+
+        run_scenario(scenario)
+
     def test_leadership_that_ended_is_not_begun_again_in_its_epoch(self):
         """Generations would start again at one in the same epoch.
 
