Do not wait for promotion orders that no leader can have sent

Callers were refused after a restoration of the store for 3 s longer with each leader that was lost: each one let the orders of its predecessor run out before it asked the servers of an unproven group, though none is ordered until they have been asked.

The record now says that a group is unproven only until a promotion is about to be ordered for it; that is written before the order. While it says so, only leaders of earlier timelines can have sent orders, and these ended with the restoration.

--- a/src/burdocksail/authority/_change.py
+++ b/src/burdocksail/authority/_change.py
@@ -104,11 +104,13 @@
         self._board.metrics.count("changes_begun")
         try:
             await self._record_change()
-            if self._service in self._leadership.unproven_groups:
+            if self._is_unordered():
                 present = await self._find_unchanged_primary()
                 if present is not None:
                     self._open_group(present.id)
                     return
+                self._leadership.ordered_groups.add(self._service)
+                await self._write_record()
             old_status = await self._fence_old_primary()
             chosen = await self._choose_server(old_status)
             await self._promote(chosen)
@@ -116,6 +118,11 @@
         finally:
             self._inspector.close()
 
+    def _is_unordered(self) -> bool:
+        """Return whether no promotion has been ordered since a restoration."""
+        leadership = self._leadership
+        return self._service in leadership.unproven_groups - leadership.ordered_groups
+
     async def _record_change(self) -> None:
         leadership = self._leadership
         inherited = self._service in leadership.inherited_changes
@@ -123,7 +130,7 @@
         await self._write_record()
         if inherited:
             # A promotion order of an earlier leader may still be in flight.
-            wait = leadership.earlier_orders_end_at - self._board.now()
+            wait = leadership.find_earlier_orders_end(self._service) - self._board.now()
             await asyncio.sleep(max(0.0, wait))
 
     async def _write_record(self) -> None:
@@ -141,7 +148,8 @@
         closed. They have to end before an order to promote, after None.
         """
         leadership = self._leadership
-        orders_effective_at = leadership.earlier_orders_end_at + PROMOTION_EFFECT_TIME
+        orders_end_at = leadership.find_earlier_orders_end(self._service)
+        orders_effective_at = orders_end_at + PROMOTION_EFFECT_TIME
         generation = self._set_state(GroupState.CLOSED)
         while not leadership.ended:
             asked_at = self._board.now()
--- a/src/burdocksail/authority/_leadership.py
+++ b/src/burdocksail/authority/_leadership.py
@@ -84,8 +84,9 @@
         Services whose recorded primary may be the present one or may have been
         replaced without a trace, as the store was restored; they are among the
         inherited changes.
-    earlier_orders_end_at : float
-        Clock reading after which no promotion order of an earlier leader can arrive.
+    ordered_groups : set of str
+        Services among `unproven_groups` for which this leader may have ordered a
+        promotion.
     """
 
     def __init__(
@@ -109,12 +110,8 @@
         self.unproven_groups = frozenset(
             service for service, group in record.groups.items() if group.unproven
         )
-        # Leaders of an earlier timeline could order nothing once it had ended.
-        starts_timeline = record.starts_timeline(stored.timeline)
-        orders_since = (
-            board.store.timeline_since if starts_timeline else self.started_at
-        )
-        self.earlier_orders_end_at = orders_since + PROMOTION_ORDER_LIFETIME
+        self.ordered_groups: set[str] = set()
+        self._starts_timeline = record.starts_timeline(stored.timeline)
         unsettled = {e.leader: e.members for e in record.unsettled}
         self.grantees = Grantees(
             board.member,
@@ -258,12 +255,23 @@
         self.unproven_groups |= {service}
         self.set_view(GroupView(service, primary_id, change, GroupState.CLOSED))
 
+    def find_earlier_orders_end(self, service: str) -> float:
+        """Return the clock reading after which no earlier leader's order can arrive.
+
+        Leaders of earlier timelines could order nothing once theirs had ended, and no
+        leader of this one has, where that would be recorded.
+        """
+        is_unordered = self._starts_timeline or service in self.unproven_groups
+        since = self._board.store.timeline_since if is_unordered else self.started_at
+        return since + PROMOTION_ORDER_LIFETIME
+
     def open_group(self, view: GroupView) -> None:
         """Open a group whose primary is known now, at the end of a change."""
         service = view.service_name
         self.changing.discard(service)
         self.inherited_changes -= {service}
         self.unproven_groups -= {service}
+        self.ordered_groups.discard(service)
         self.set_view(view)
 
     def find_unconfirmed(self, generation: int) -> list[str]:
@@ -471,7 +479,7 @@
                 view.primary_id,
                 view.change,
                 view.service_name in self.changing,
-                view.service_name in self.unproven_groups,
+                view.service_name in self.unproven_groups - self.ordered_groups,
             )
             for view in self.views.values()
         }
--- a/src/burdocksail/authority/_record.py
+++ b/src/burdocksail/authority/_record.py
@@ -38,7 +38,7 @@
         promotion order may be in flight.
     unproven : bool
         Whether it is not known if this server is still primary, as the store was
-        restored. Such a group is changing.
+        restored, and no promotion has been ordered since. Such a group is changing.
     """
 
     primary_id: str
--- a/src/burdocksail/fakes/restoration_test.py
+++ b/src/burdocksail/fakes/restoration_test.py
@@ -190,6 +190,24 @@
 
         run_scenario(scenario, settle_time=6.0)
 
+    def test_next_leader_does_not_wait_for_orders_that_none_has_sent(self):
+        """The first leader after the restoration is killed while it asks the servers.
+
+        Earlier fault: the next one waited until no order of it could arrive.
+        """
+
+        async def scenario(fleet: Fleet) -> None:
+            await fleet.restore_store(age=6.0, outage=13.0)
+            while fleet.leader() is None or fleet.leader().board.authority.epoch == 1:
+                await asyncio.sleep(0.1)
+            await asyncio.sleep(1.5)
+            await kill_leader(fleet)
+            name = next(iter(fleet.instances))
+            self.assertLess(await time_until_written(fleet, name), 4.5)
+            self.assertEqual(fleet.database.promotions, [])
+
+        run_scenario(scenario, settle_time=6.0)
+
     def test_primary_is_not_used_while_its_successor_may_be_unlisted(self):
         """The successor and the leader that promoted it are partitioned from the rest.
 
