Remove no object of a later run with that of a stopped instance

An instance that is restarted at once could lose its registration, and with it its lease, for some 0.5 s: the leader removes the object of an instance that has stopped or was silent under its name, and did not look whose it is by then. Found by reading; the leader would have to see the new registration late.

Evidence: the new test fails without the change.

--- a/src/burdocksail/agent/resilience_test.py
+++ b/src/burdocksail/agent/resilience_test.py
@@ -17,6 +17,7 @@
     time_until_written,
     write,
 )
+from burdocksail.fleet import make_object_name
 from burdocksail.ports import ObjectKind
 from burdocksail.serving import CallerSession
 
@@ -192,6 +193,23 @@
 
         run_scenario(scenario)
 
+    def test_object_of_a_later_run_is_not_removed_with_that_of_a_stopped_one(self):
+        """The leader has not seen yet that the instance has registered again."""
+
+        async def scenario(fleet: Fleet) -> None:
+            leader = fleet.leader()
+            name = next(n for n in fleet.instances if n != leader.board.member.name)
+            stopped = fleet.instances[name].board.member
+            fleet.kill(name)
+            await fleet.start_instance(name)
+            await asyncio.sleep(1.0)
+            object_name = make_object_name(stopped)
+            leadership = leader._authority._leadership
+            await leadership._remove_instance(object_name, stopped)
+            self.assertIn((ObjectKind.FLEET, object_name), fleet.store.objects)
+
+        run_scenario(scenario)
+
 
 class StuckWatchTest(unittest.TestCase):
     def test_configuration_is_in_force_in_time_although_all_watches_are_stuck(self):
--- a/src/burdocksail/authority/_leadership.py
+++ b/src/burdocksail/authority/_leadership.py
@@ -39,6 +39,7 @@
     Renew,
     SharedSample,
     TakeOver,
+    decode_member,
     make_authority_name,
 )
 from burdocksail.ports import (
@@ -506,12 +507,15 @@
             silent = heard.get(member.address, self.started_at) < limit
             stopped = members.ended.get(name) == member
             if (silent or stopped) and member != self._board.member and not self.ended:
-                await self._remove_instance(name)
+                await self._remove_instance(name, member)
 
-    async def _remove_instance(self, name: str) -> None:
+    async def _remove_instance(self, name: str, member: Member) -> None:
+        """Remove the object of an instance unless a later run has registered."""
         try:
             stored = await self._store.read(ObjectKind.FLEET, name)
             if stored is not None:
+                if decode_member(stored.spec) != member:
+                    return
                 await self._store.delete(ObjectKind.FLEET, name, stored.revision)
         except (StoreUnavailable, StoreConflict) as error:
             self._log.info("instance not removed", name=name, reason=str(error))
--- a/src/burdocksail/fleet/__init__.py
+++ b/src/burdocksail/fleet/__init__.py
@@ -23,6 +23,7 @@
 from burdocksail.fleet._registration import (
     INSTANCE_PREFIX,
     Registration,
+    decode_member,
     encode_member,
     make_object_name,
 )
@@ -55,6 +56,7 @@
     "SnapshotExchange",
     "StoreTracker",
     "TakeOver",
+    "decode_member",
     "decode_message",
     "decode_snapshot",
     "encode_member",
