Let the simulator's store do what a restored store does, with tests that fail

The stand-in of the MySQL path's store could go back to a copy, but its replies named no timeline, a watch from a revision that it did not have waited, and nobody wrote again what operators had written. Random worlds can now draw a restoration (RESTORATION_FAULT_KINDS); each world now checks ten times a second that no instance returns to an earlier record and that no two instances lead, and at its end that every record is in force everywhere.

--- a/src/burdocksail/node/_store.py
+++ b/src/burdocksail/node/_store.py
@@ -114,9 +114,14 @@
         Store revision that the reply reflects.
     instances : tuple of ListedInstance
         Instances read by `ListInstances`.
+    timeline : int
+        Number that rises whenever the store is restored from an earlier copy of
+        itself, which gives out the revisions since then again; 0 if the store names
+        none.
     """
 
     status: StoreStatus
     objects: tuple[StoredObject, ...] = ()
     revision: int = 0
     instances: tuple[ListedInstance, ...] = ()
+    timeline: int = 0
--- a/src/burdocksail/shell/_store_client.py
+++ b/src/burdocksail/shell/_store_client.py
@@ -136,4 +136,5 @@
         ),
         int(body.get("revision", 0)),
         tuple(ListedInstance(**item) for item in body.get("instances", ())),
+        int(body.get("timeline", 0)),
     )
--- a/src/burdocksail/standin/__init__.py
+++ b/src/burdocksail/standin/__init__.py
@@ -14,7 +14,11 @@
     parse_sleep,
     parse_wait,
 )
-from burdocksail.standin._faults import FAULT_KINDS, run_random_world
+from burdocksail.standin._faults import (
+    FAULT_KINDS,
+    RESTORATION_FAULT_KINDS,
+    run_random_world,
+)
 from burdocksail.standin._group_server import StandInGroup, StandInGroupSettings
 from burdocksail.standin._records import (
     GROUP_PASSWORD,
@@ -37,6 +41,7 @@
     "FAULT_KINDS",
     "GROUP_PASSWORD",
     "GROUP_USER",
+    "RESTORATION_FAULT_KINDS",
     "DatabaseGroup",
     "DatabaseServer",
     "DatabaseSession",
--- a/src/burdocksail/standin/_faults.py
+++ b/src/burdocksail/standin/_faults.py
@@ -8,7 +8,6 @@
 from datetime import timedelta
 
 from burdocksail.core import seconds
-from burdocksail.node import PutObject
 from burdocksail.standin._simulator import STORE_NAME
 from burdocksail.standin._world import (
     GROUP,
@@ -218,15 +217,25 @@
 
 def _race_record_writes(world: World) -> str:
     """Write a record twice from the same version, as two operators at once would."""
-    key = f"records/service/{SERVICE}"
-    current = world.simulator.store.objects[key]
+    path = f"service/{SERVICE}"
+    current = world.simulator.store.objects[f"records/{path}"]
     value = json.loads(current.value)
     for deadline in (4000, 5000):
         text = json.dumps({**value, "deadline_ms": deadline})
-        world.simulator.store.perform(PutObject(key, text, current.version))
+        world.write_record(path, text, current.version)
     return SERVICE
 
 
+def _copy_store(world: World) -> str:
+    world.store_copy = world.simulator.store.take_copy()
+    return STORE_NAME
+
+
+def _return_store_to_copy(world: World, name: str) -> None:
+    """Let the store lose what has been written since the copy was taken."""
+    world.restore_store(world.store_copy)
+
+
 def _do_nothing(world: World, name: str) -> None:
     """Leave alone a fault that ends by itself."""
 
@@ -251,14 +260,23 @@
     FaultKind("grow_lag", _increase_lag, _restore_lag),
     FaultKind("race_operators", _race_record_writes, _do_nothing),
 )
+# The seeds of other tests depend on the list above.
+RESTORATION_FAULT_KINDS: tuple[FaultKind, ...] = (
+    *FAULT_KINDS,
+    *(FaultKind("restore_store", _copy_store, _return_store_to_copy),) * 4,
+)
 
 
 def run_random_world(
-    seed: int, steps: int, settings: WorldSettings | None = None
+    seed: int,
+    steps: int,
+    settings: WorldSettings | None = None,
+    kinds: tuple[FaultKind, ...] = FAULT_KINDS,
 ) -> World:
     """Run a world for a number of random steps, check it and return it.
 
-    A step may start or end a fault and lasts up to 3 s of virtual time.
+    A step may start or end a fault of one of `kinds` and lasts up to 3 s of virtual
+    time.
 
     Raises
     ------
@@ -269,14 +287,16 @@
     """
     world = World(seed, settings)
     world.start()
+    world.watch_instances()
     for _ in range(steps):
         draw = world.random.random()
         if draw < 0.35:
-            world.start_fault(world.random.choice(FAULT_KINDS))
+            world.start_fault(world.random.choice(kinds))
         elif draw < 0.55:
             world.end_fault(world.random.randrange(MAX_ACTIVE_FAULTS))
         world.run_for(seconds(world.random.choice((0.05, 0.3, 1.0, 3.0))))
     world.settle()
     world.check_now()
     world.check_contents()
+    world.check_configuration()
     return world
--- a/src/burdocksail/standin/_simulator.py
+++ b/src/burdocksail/standin/_simulator.py
@@ -573,7 +573,7 @@
             # The call times out 2 s after its watch (22 s and 20 s), so a watch
             # without changes is answered 2 s before the deadline of the call.
             if reply is None and self.now + STORE_DELAY >= deadline - seconds(2):
-                reply = StoreReply(StoreStatus.OK, revision=self.store.revision)
+                reply = self.store.make_reply(StoreStatus.OK)
             if reply is None:
                 self.schedule(WATCH_POLL_INTERVAL, poll)
             else:
--- a/src/burdocksail/standin/_store_model.py
+++ b/src/burdocksail/standin/_store_model.py
@@ -18,6 +18,7 @@
     StoreStatus,
     WatchObjects,
 )
+from burdocksail.ports import FIRST_TIMELINE
 
 MAX_VALUE_BYTES = 1_000_000
 
@@ -42,12 +43,15 @@
         Instances that the platform reports.
     calls : Counter of str
         Operations so far, by the name of their class.
+    timeline : int
+        Number that every reply names; it rises with each restoration.
     """
 
     objects: dict[str, StoredObject] = field(default_factory=dict)
     revision: int = 0
     instances: tuple[ListedInstance, ...] = ()
     calls: Counter[str] = field(default_factory=Counter)
+    timeline: int = FIRST_TIMELINE
 
     def perform(self, operation: StoreOperation) -> StoreReply | None:
         """Perform an operation; return its reply, None for a watch without changes."""
@@ -65,10 +69,25 @@
         """
         self.objects = dict(copy.objects)
         self.revision = copy.revision
+        self.timeline += 1
+
+    def make_reply(
+        self,
+        status: StoreStatus,
+        objects: tuple[StoredObject, ...] = (),
+        instances: tuple[ListedInstance, ...] = (),
+    ) -> StoreReply:
+        """Return a reply that names the present revision and timeline."""
+        return StoreReply(status, objects, self.revision, instances, self.timeline)
 
 
 def perform_watch(store: StoreModel, operation: WatchObjects) -> StoreReply | None:
-    """Return the changes since a watch's revision, or None if there are none."""
+    """Return the changes since a watch's revision, or None if there are none.
+
+    A revision that the store does not have is answered with ``MISSING``.
+    """
+    if operation.after_revision > store.revision:
+        return store.make_reply(StoreStatus.MISSING)
     changed = tuple(
         sorted(
             (
@@ -80,16 +99,14 @@
             key=lambda stored: stored.version,
         )
     )
-    if not changed:
-        return None
-    return StoreReply(StoreStatus.OK, changed, store.revision)
+    return store.make_reply(StoreStatus.OK, changed) if changed else None
 
 
 def _perform_get(store: StoreModel, operation: GetObject) -> StoreReply:
     stored = store.objects.get(operation.key)
     if stored is None:
-        return StoreReply(StoreStatus.MISSING, revision=store.revision)
-    return StoreReply(StoreStatus.OK, (stored,), store.revision)
+        return store.make_reply(StoreStatus.MISSING)
+    return store.make_reply(StoreStatus.OK, (stored,))
 
 
 def _perform_put(store: StoreModel, operation: PutObject) -> StoreReply:
@@ -97,11 +114,11 @@
     version = current.version if current is not None else 0
     if version != operation.expected_version:
         objects = (current,) if current is not None else ()
-        return StoreReply(StoreStatus.CONFLICT, objects, store.revision)
+        return store.make_reply(StoreStatus.CONFLICT, objects)
     store.revision += 1
     stored = StoredObject(operation.key, store.revision, operation.value)
     store.objects[operation.key] = stored
-    return StoreReply(StoreStatus.OK, (stored,), store.revision)
+    return store.make_reply(StoreStatus.OK, (stored,))
 
 
 def _perform_list(store: StoreModel, operation: ListObjects) -> StoreReply:
@@ -110,13 +127,11 @@
         for key, stored in sorted(store.objects.items())
         if key.startswith(operation.prefix)
     )
-    return StoreReply(StoreStatus.OK, found, store.revision)
+    return store.make_reply(StoreStatus.OK, found)
 
 
 def _perform_list_instances(store: StoreModel, operation: ListInstances) -> StoreReply:
-    return StoreReply(
-        StoreStatus.OK, revision=store.revision, instances=store.instances
-    )
+    return store.make_reply(StoreStatus.OK, instances=store.instances)
 
 
 _OPERATION_HANDLERS = {
--- a/src/burdocksail/standin/_store_server.py
+++ b/src/burdocksail/standin/_store_server.py
@@ -128,9 +128,7 @@
             if self.faults.down:
                 return web.json_response({}, status=503)
             reply = perform_watch(self.model, operation)
-        return _respond(
-            reply or StoreReply(StoreStatus.OK, revision=self.model.revision)
-        )
+        return _respond(reply or self.model.make_reply(StoreStatus.OK))
 
     async def _instances(self, request: web.Request) -> web.Response:
         return self._perform(ListInstances())
@@ -153,5 +151,6 @@
         "objects": [asdict(stored) for stored in reply.objects],
         "revision": reply.revision,
         "instances": [asdict(listed) for listed in reply.instances],
+        "timeline": reply.timeline,
     }
     return web.json_response(body, status=_HTTP_STATUSES[reply.status])
--- a/src/burdocksail/standin/_world.py
+++ b/src/burdocksail/standin/_world.py
@@ -10,13 +10,18 @@
 from datetime import timedelta
 
 from burdocksail.core import Answer, AnswerError, Outcome, seconds
-from burdocksail.node import PutObject, StatementOptions
+from burdocksail.node import Node, PutObject, StatementOptions, StoreReply, StoreStatus
 from burdocksail.standin._records import (
     make_group_record,
     make_service_record,
     make_team_record,
 )
-from burdocksail.standin._simulator import Simulator, SimulatorSettings
+from burdocksail.standin._simulator import (
+    SimulatedNode,
+    Simulator,
+    SimulatorSettings,
+)
+from burdocksail.standin._store_model import StoreCopy
 
 GROUP = "booking"
 DATABASE = "booking"
@@ -26,6 +31,10 @@
 CONNECTION_LIMIT = 20
 MAX_READ_AGE = seconds(1)
 SETTLE_TIMEOUT = seconds(60)
+RESTORATION_OUTAGE = seconds(0.5)
+# Longest time after a restoration until an operator's record is written again.
+REWRITE_DELAY = seconds(2)
+INSTANCE_CHECK_INTERVAL = seconds(0.1)
 MAX_ACTIVE_FAULTS = 2
 CREATE_TABLE = "CREATE TABLE entry (id INTEGER, caller TEXT, n INTEGER, pair INTEGER)"
 
@@ -185,6 +194,9 @@
         self.active_faults: list[ActiveFault] = []
         self.callers_paused = False
         self.violations: list[str] = []
+        self.store_copy: StoreCopy | None = None
+        self._record_texts: dict[str, list[str]] = {}
+        self._applied_texts: dict[tuple[str, str], int] = {}
         self._last_write_id = 0
         self._planned = 0  # not used
 
@@ -358,11 +370,74 @@
         )
         self.simulator.schedule(seconds(0.1), watch_instance)
 
+    def write_record(self, path: str, text: str, version: int) -> StoreReply:
+        """Write an operator's record if its version is `version`."""
+        operation = PutObject(f"records/{path}", text, version)
+        reply = self.simulator.store.perform(operation)
+        if reply.status is StoreStatus.OK:
+            self._record_texts.setdefault(path, []).append(text)
+        return reply
+
+    def restore_store(self, copy: StoreCopy) -> None:
+        """Take the store away for a moment and let it return with an earlier state.
+
+        Operators write again what is missing or older then.
+        """
+        simulator = self.simulator
+
+        def return_from_copy() -> None:
+            simulator.store.restore(copy)
+            simulator.store_faults.down = False
+            for path in self._record_texts:
+                delay = REWRITE_DELAY * self.random.random()
+                simulator.schedule(delay, lambda path=path: self._rewrite_record(path))
+
+        simulator.store_faults.down = True
+        simulator.schedule(RESTORATION_OUTAGE, return_from_copy)
+
+    def _rewrite_record(self, path: str) -> None:
+        text = self._record_texts[path][-1]
+        current = self.simulator.store.objects.get(f"records/{path}")
+        if current is None or current.value != text:
+            self.write_record(path, text, 0 if current is None else current.version)
+
+    def watch_instances(self) -> None:
+        """Record violations by the state of the instances, from now on.
+
+        None may return to an earlier record, and two may not lead at the same time.
+        """
+        running = [n for n in self.simulator.nodes.values() if n.alive and not n.paused]
+        for node in running:
+            self._check_applied_records(node)
+        leaders = [n.instance.key for n in running if is_lease_valid(n.node, GROUP)]
+        if len(leaders) > 1:
+            self.violations.append(f"{leaders} led at {self.simulator.now}")
+        self.simulator.schedule(INSTANCE_CHECK_INTERVAL, self.watch_instances)
+
+    def _check_applied_records(self, node: SimulatedNode) -> None:
+        for path, item in node.node.board.configuration.items.items():
+            texts = self._record_texts[path]
+            # A text may have been written more than once; the last time counts.
+            number = len(texts) - 1 - texts[::-1].index(item.content)
+            key = (node.instance.key, path)
+            if number < self._applied_texts.get(key, 0):
+                self.violations.append(
+                    f"{node.instance.key} returned to version {number} of {path} "
+                    f"at {self.simulator.now}"
+                )
+            self._applied_texts[key] = number
+
+    def check_configuration(self) -> None:
+        """Raise `ObserverError` unless every record is in force everywhere."""
+        for path, texts in self._record_texts.items():
+            for name, node in self.simulator.nodes.items():
+                item = node.node.board.configuration.items.get(path)
+                applied = item is not None and item.content == texts[-1]
+                self._require(applied, f"{path} is not in force on {name}")
+
     def _put_record(self, path: str, text: str) -> None:
-        key = f"records/{path}"
-        current = self.simulator.store.objects.get(key)
-        version = current.version if current else 0
-        self.simulator.store.perform(PutObject(key, text, version))
+        current = self.simulator.store.objects.get(f"records/{path}")
+        self.write_record(path, text, current.version if current else 0)
 
     def _put_group_record(self, **extra: object) -> None:
         servers = self.simulator.describe_group(GROUP)
@@ -615,6 +690,12 @@
             raise ObserverError(f"{message} (at {self.simulator.now})")
 
 
+def is_lease_valid(node: Node, group: str) -> bool:
+    """Return whether a node may answer for a group now."""
+    leadership = node.dump()["leaderships"].get(group)
+    return leadership is not None and leadership["lease_valid"]
+
+
 def _insert(write: TrackedWrite) -> str:
     return (
         f"INSERT INTO entry VALUES ({write.write_id}, '{write.caller}', "
--- a/src/burdocksail/standin/scenarios_test.py
+++ b/src/burdocksail/standin/scenarios_test.py
@@ -11,6 +11,7 @@
     WorldSettings,
     run_random_world,
 )
+from burdocksail.standin._simulator import STORE_NAME
 
 KINDS = {kind.name: kind for kind in FAULT_KINDS}
 GROUP = "booking"
@@ -53,6 +54,12 @@
     return json.loads(stored.value) if stored else {}
 
 
+def read_members(world, leader):
+    """Return the names of the instances that grant the lease of a leader."""
+    leaderships = world.simulator.nodes[leader].node.dump()["leaderships"]
+    return [key.partition("/")[0] for key in leaderships[GROUP]["members"]]
+
+
 def write_record(world, path, text):
     world._put_record(path, text)
 
@@ -186,23 +193,67 @@
         settle_and_check(world)
 
 
+TEAM_RECORD = '{"schema_version": 1, "kind": "team", "name": "%s", "owner": "x"}'
+
+
 class StoreRestorationTest(unittest.TestCase):
     @unittest.expectedFailure
     def test_record_written_after_a_restoration_is_in_force(self):
         """Its revision is lower than the one up to which instances know the store."""
         world = start_world()
-        text = '{"schema_version": 1, "kind": "team", "name": "%s", "owner": "x"}'
         copy = world.simulator.store.take_copy()
         for name in ("first", "second", "third"):
-            write_record(world, f"team/{name}", text % name)
+            write_record(world, f"team/{name}", TEAM_RECORD % name)
             world.run_for(CONFIGURATION_LIMIT)
         world.simulator.store.restore(copy)
-        write_record(world, "team/fourth", text % "fourth")
+        write_record(world, "team/fourth", TEAM_RECORD % "fourth")
         world.run_for(CONFIGURATION_LIMIT)
         for node in world.simulator.nodes.values():
             generations = node.node.dump()["configuration"]["generations"]
             self.assertIn("team/fourth", generations)
 
+    def test_record_not_accepted_in_the_copy_does_not_replace_a_later_one(self):
+        """Guards against a record that the copy holds and that has changed since."""
+        world = start_world()
+        world.watch_instances()
+        path = "service/booking"
+        key = f"records/{path}"
+        value = json.loads(world.simulator.store.objects[key].value)
+        write_record(world, path, json.dumps({**value, "deadline_ms": 4000}))
+        copy = world.simulator.store.take_copy()
+        world.run_for(CONFIGURATION_LIMIT)
+        write_record(world, path, json.dumps({**value, "deadline_ms": 5000}))
+        world.run_for(CONFIGURATION_LIMIT)
+        world.restore_store(copy)
+        world.run_for(2 * CONFIGURATION_LIMIT)
+        settle_and_check(world)
+        world.check_configuration()
+
+    @unittest.expectedFailure
+    def test_no_second_leader_after_a_restoration_lost_the_claim_of_the_first(self):
+        """The copy names an earlier leader, whose lease members may let another claim.
+
+        The present leader and a majority of its members do not reach the others.
+        """
+        world = start_world()
+        simulator = world.simulator
+        world.watch_instances()
+        copy = simulator.store.take_copy()
+        first = world.find_leader()
+        members = read_members(world, first)
+        simulator.crash_node(first)
+        world.run_for(seconds(8))
+        second = world.find_leader()
+        outside = [n for n in members if n not in (first, second)][:2]
+        inside = [n for n in simulator.nodes if n not in (first, *outside)]
+        for name in inside:
+            simulator.cut_off(name, [first, *outside, STORE_NAME])
+        simulator.restart_node(first)
+        world.restore_store(copy)
+        world.run_for(seconds(15))
+        self.assertEqual(world.violations, [])
+        settle_and_check(world)
+
 
 class ConfigurationTest(unittest.TestCase):
     def test_an_accepted_change_is_in_force_everywhere_in_time(self):
