--- a/src/burdocksail/node/_dump.py
+++ b/src/burdocksail/node/_dump.py
@@ -61,6 +61,7 @@
         "pending_requests": len(board.entry.pending),
         "store": {
             "calls_in_flight": len(board.store.calls),
+            "timeline": board.store.timeline,
             "last_answer_s": _in_seconds(board.store.last_answer),
             "last_failure_s": _in_seconds(board.store.last_failure),
         },
--- a/src/burdocksail/standin/scenarios_test.py
+++ b/src/burdocksail/standin/scenarios_test.py
@@ -7,6 +7,7 @@
 from burdocksail.node import PutObject, StatementOptions
 from burdocksail.standin import (
     FAULT_KINDS,
+    RESTORATION_FAULT_KINDS,
     World,
     WorldSettings,
     run_random_world,
@@ -408,6 +409,10 @@
         """
         run_random_world(771196, 60)
 
+    def test_record_written_again_at_a_lower_revision_is_in_force(self):
+        """Guards against an instance that misses a record after a restoration."""
+        run_random_world(136, 40, kinds=RESTORATION_FAULT_KINDS)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/src/burdocksail/tools/soak.py
+++ b/src/burdocksail/tools/soak.py
@@ -8,7 +8,11 @@
 
 import typer
 
-from burdocksail.standin import run_random_world
+from burdocksail.standin import (
+    FAULT_KINDS,
+    RESTORATION_FAULT_KINDS,
+    run_random_world,
+)
 
 STEPS_PER_RUN = 60
 
@@ -16,15 +20,19 @@
 def soak(
     seed: Annotated[int, typer.Option(help="Seed of the first simulation.")] = 1,
     steps: Annotated[int, typer.Option(help="Steps over all simulations.")] = 20_000,
+    restorations: Annotated[
+        bool, typer.Option(help="Also restore the store from copies.")
+    ] = False,
 ) -> None:
     """Run simulations with random faults one after another and report failures."""
+    kinds = RESTORATION_FAULT_KINDS if restorations else FAULT_KINDS
     faults: dict[str, int] = {}
     outcomes: dict[str, int] = {}
     failed_seeds = []
     for number in range(max(1, steps // STEPS_PER_RUN)):
         run_seed = seed + number
         try:
-            simulation = run_random_world(run_seed, STEPS_PER_RUN)
+            simulation = run_random_world(run_seed, STEPS_PER_RUN, kinds=kinds)
         except Exception as error:
             failed_seeds.append(run_seed)
             traceback.print_exc()
