Accept no stale answers of the store for some seconds after a restoration

Instances that do not watch the fleet's objects let answers on the servers' entries be some seconds stale. Such an answer may describe the store of before the restoration under the number of the present timeline. Its revisions are then ahead of those given out again, so a server that began to drain was still ready there 5 s later, and the watch from such a revision was refused and begun anew some 80 times a second.

Found by reading; whether the platform's store answers in this way is not known.

The store of the fakes can now give such answers.

--- a/src/burdocksail/fakes/_store.py
+++ b/src/burdocksail/fakes/_store.py
@@ -9,7 +9,7 @@
 import contextlib
 from collections import Counter, deque
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 from burdocksail.board import Signal
@@ -26,7 +26,7 @@
 )
 
 ANSWER_DELAY = 0.004  # seconds
-STALENESS = 3.0  # seconds of delay of an answer to a watch with `consistent=False`
+STALENESS = 3.0  # seconds by which an answer with `consistent=False` may be behind
 COPY_RETENTION = 30.0  # seconds
 
 
@@ -46,6 +46,19 @@
     objects: dict[tuple[ObjectKind, str], StoredObject]
 
 
+@dataclass(frozen=True, slots=True)
+class _LostHistory:
+    """Changes that a restoration has discarded.
+
+    Answers that need not be consistent may still be made from them for `STALENESS`
+    seconds. They name the present timeline, as all answers do.
+    """
+
+    changes: tuple[_Change, ...]
+    revision: int
+    restored_at: float
+
+
 @dataclass(slots=True)
 class MemoryStore:
     """Objects with revisions, shared by all clients.
@@ -67,6 +80,7 @@
     first_retained: int = 1
     changed: Signal = field(default_factory=Signal)
     _copies: deque[_Copy] = field(default_factory=deque)
+    _lost: _LostHistory | None = None
 
     def put(self, kind: ObjectKind, name: str, spec: Mapping[str, Any]) -> StoredObject:
         """Write an object and return what is stored.
@@ -107,6 +121,10 @@
         while self._copies and self._copies[0].taken_at <= limit:
             copy = self._copies.popleft()
         self._copies.clear()
+        lost = tuple(c for c in self.changes if c.revision > copy.revision)
+        self._lost = _LostHistory(
+            lost, self.revision, asyncio.get_running_loop().time()
+        )
         self.revision = copy.revision
         self.timeline += 1
         self.objects = {
@@ -117,6 +135,20 @@
         self._keep_copy()
         self.changed.notify()
 
+    def find_stale_answer(self, kind: ObjectKind, revision: int) -> StoreEvents | None:
+        """Return an answer to a watch from before the last restoration, or None."""
+        lost = self._lost
+        now = asyncio.get_running_loop().time()
+        if lost is None or now > lost.restored_at + STALENESS:
+            return None
+        events = tuple(
+            replace(c.event, object=replace(c.event.object, timeline=self.timeline))
+            for c in lost.changes
+            if c.revision > revision and c.kind is kind
+        )
+        version = StoreVersion(self.timeline, lost.revision)
+        return StoreEvents(events, version) if events else None
+
     def _keep_copy(self) -> None:
         now = asyncio.get_running_loop().time()
         self._copies.append(_Copy(now, self.revision, dict(self.objects)))
@@ -198,6 +230,9 @@
                 or revision > self.store.revision
             ):
                 raise HistoryLost("changes after the revision are not known")
+            stale = self.store.find_stale_answer(kind, revision)
+            if stale is not None and not consistent:
+                return stale
             events = tuple(
                 c.event
                 for c in self.store.changes
--- a/src/burdocksail/fakes/restoration_test.py
+++ b/src/burdocksail/fakes/restoration_test.py
@@ -1,9 +1,11 @@
 """A fleet whose store is restored from a copy that is some seconds old."""
 
 import asyncio
+import contextlib
 import unittest
 from unittest import mock
 
+from burdocksail.authority import _grantees, _leadership
 from burdocksail.authority._record import AuthorityRecord, encode_record
 from burdocksail.catalog import ReadPolicy, UpstreamState
 from burdocksail.core import Run
@@ -18,7 +20,7 @@
 )
 from burdocksail.fakes._fleet import make_catalog
 from burdocksail.fakes._world import RESTORATION_FAULTS, World
-from burdocksail.fleet import AUTHORITY_NAME
+from burdocksail.fleet import AUTHORITY_NAME, _tracking
 from burdocksail.ports import ObjectKind
 
 SEEDS = (1, 2, 3)
@@ -411,6 +413,34 @@
 
         run_scenario(scenario, settle_time=9.0)
 
+    def test_stale_answer_of_before_the_restoration_hides_no_later_entry(self):
+        """It has revisions that the present timeline has not reached yet.
+
+        Only instances that do not watch the fleet's objects accept stale answers.
+        """
+
+        async def scenario(fleet: Fleet) -> None:
+            raise_revision(fleet, 60)
+            fleet.draining.add("server-1")
+            await asyncio.sleep(0.5)
+            fleet.draining.remove("server-1")
+            await asyncio.sleep(0.5)
+            await fleet.restore_store(age=5.0)
+            await asyncio.sleep(5.0)
+            fleet.draining.add("server-1")
+            await asyncio.sleep(5.0)
+            for name, instance in fleet.instances.items():
+                upstream = instance.board.directory.upstreams["server-1"]
+                self.assertIs(upstream.state, UpstreamState.DRAINING, name)
+
+        with (
+            mock.patch.object(_tracking, "MAX_MONITORS", 1),
+            contextlib.ExitStack() as s,
+        ):
+            for module in (_grantees, _leadership):
+                s.enter_context(mock.patch.object(module, "MAX_MONITORS", 1))
+            run_scenario(scenario, instances=5, settle_time=9.0)
+
     def test_restoration_is_noticed_though_all_watches_hang(self):
         """Only the leader calls the store meanwhile, to confirm its record."""
 
--- a/src/burdocksail/fleet/_tracking.py
+++ b/src/burdocksail/fleet/_tracking.py
@@ -50,6 +50,7 @@
 # Longer than the time over which a change of primary counts lost replicas.
 LOST_RETENTION = 60.0  # seconds
 POLL_INTERVAL = 0.25  # seconds
+MAX_STALE_AGE = 10.0  # seconds by which an answer that need not be consistent is behind
 # Seconds in which a server writes its entry again that a restoration has lost, or the
 # store removes the entry of a server that is gone.
 RESTORED_ENTRY_GRACE = 6.0
@@ -254,10 +255,7 @@
         """
         if version.timeline != self._board.store.timeline:
             raise HistoryLost("the store was restored before the watch")
-        # Peers learn of changes from the instances that watch the fleet's objects.
-        # The others accept entries of upstreams that may be some seconds stale,
-        # which costs the store less.
-        consistent = kind is not ObjectKind.UPSTREAMS or self._should_watch_fleet()
+        consistent = kind is not ObjectKind.UPSTREAMS or not self._accepts_stale()
         timeout = LEADER_WATCH_TIMEOUT if self._is_leader() else WATCH_TIMEOUT
         watch = asyncio.ensure_future(
             self._store.watch(kind, version.revision, timeout, consistent)
@@ -276,6 +274,20 @@
             raise HistoryLost("the answer is of another timeline")
         return events
 
+    def _accepts_stale(self) -> bool:
+        """Return whether entries of upstreams may be some seconds stale.
+
+        That costs the store less, and peers learn of changes from the instances that
+        watch the fleet's objects. After a restoration such an answer may hold the
+        revisions of the earlier timeline under the number of the present one.
+        """
+        restored_at = self._board.store.timeline_since
+        is_settled = (
+            self._board.store.timeline <= FIRST_TIMELINE
+            or self._board.now() > restored_at + MAX_STALE_AGE
+        )
+        return is_settled and not self._should_watch_fleet()
+
     def _require_present_timeline(self, version: StoreVersion) -> None:
         """Raise `StoreUnavailable` for an answer that a restoration has overtaken."""
         if version.timeline < self._board.store.timeline:
