--- a/src/burdocksail/fakes/restoration_test.py
+++ b/src/burdocksail/fakes/restoration_test.py
@@ -280,6 +280,37 @@
 
         run_scenario(scenario)
 
+    @unittest.expectedFailure
+    def test_record_of_the_timeline_before_is_not_claimed(self):
+        """The store is restored while a claim reads the record.
+
+        Earlier fault: the claim went to the record of the earlier timeline, and groups
+        were opened under primaries that had been replaced.
+        """
+
+        async def scenario(fleet: Fleet) -> None:
+            await kill_leader(fleet)
+            instance = next(iter(fleet.instances.values()))
+            claimant = instance._authority._claimant
+            client = claimant._store
+            store = mock.Mock(wraps=client)
+
+            async def read_after_restoration(*args):
+                fleet.store.restore(age=0.0)
+                await asyncio.sleep(0.5)
+                self.assertEqual(instance.board.store.timeline, 2)
+                return await client.read(*args)
+
+            store.read = read_after_restoration
+            with (
+                mock.patch.object(claimant, "_store", store),
+                mock.patch.object(claimant, "_on_claimed") as on_claimed,
+            ):
+                await claimant._claim()
+                on_claimed.assert_not_called()
+
+        run_scenario(scenario, settle_time=3.0)
+
     def test_instance_that_had_left_is_not_waited_for(self):
         """The copy has its object again, and the primary crashes.
 
