Roll back the transactions of an instance that was restarted at once

On the MySQL path a transaction stayed open for up to 60 s, with its locks, if the instance of its session was killed and restarted so quickly that the leader had nothing to send it meanwhile: only a message that fails tells the leader that the sessions are gone.

An idle transaction is now rolled back as soon as another run of that instance is known.

The new test fails without the change.

--- a/src/burdocksail/node/_transactions.py
+++ b/src/burdocksail/node/_transactions.py
@@ -13,7 +13,7 @@
     StatementKind,
     seconds,
 )
-from burdocksail.node import _connections, _outcomes
+from burdocksail.node import _connections, _membership, _outcomes
 from burdocksail.node._board import Blackboard
 from burdocksail.node._effects import RunOperation
 from burdocksail.node._groups import (
@@ -141,10 +141,18 @@
 
 
 def roll_back_idle_transactions(board: Blackboard, runtime: GroupRuntime) -> None:
-    """Roll back transactions that have been idle for `IDLE_TIMEOUT`."""
+    """Roll back transactions that are idle and abandoned.
+
+    Those have been idle for `IDLE_TIMEOUT`, or their session was at an instance that
+    has been restarted since.
+    """
     for transaction in list(runtime.transactions.values()):
-        idle = board.now - transaction.last_used
-        if not transaction.busy and idle >= IDLE_TIMEOUT:
+        if transaction.busy:
+            continue
+        origin = transaction.origin
+        if origin is not None and _membership.is_superseded(board, origin, seconds(0)):
+            _roll_back_or_close(board, runtime, transaction)
+        elif board.now - transaction.last_used >= IDLE_TIMEOUT:
             board.metrics.count("transactions_timed_out")
             _roll_back_or_close(board, runtime, transaction)
 
--- a/src/burdocksail/standin/scenarios_test.py
+++ b/src/burdocksail/standin/scenarios_test.py
@@ -409,6 +409,33 @@
         """
         run_random_world(771196, 60)
 
+    def test_transaction_left_open_by_an_instance_that_restarted_at_once(self):
+        """Guards against locks that stay until the idle timeout.
+
+        The leader sends nothing to the instance meanwhile, so it does not notice.
+        """
+        world = start_world(callers=0)
+        simulator = world.simulator
+        entry = next(n for n in simulator.nodes if n != world.find_leader())
+        simulator.open_session(entry, "caller", "desk-0")
+        answers = []
+        insert = "INSERT INTO entry VALUES (1, 'caller', 1, 0)"
+        for sql in ("BEGIN", insert):
+            simulator.send_statement(
+                entry,
+                "caller",
+                "booking",
+                sql,
+                lambda answer, _: answers.append(answer),
+            )
+            world.run_for(seconds(0.5))
+        self.assertEqual([a.outcome for a in answers], [Outcome.ANSWERED] * 2)
+        simulator.crash_node(entry)
+        simulator.restart_node(entry)
+        world.run_for(seconds(10))
+        primary = simulator.servers[world.find_primary()].model
+        self.assertIsNone(primary.lock_owner)
+
     def test_record_written_again_at_a_lower_revision_is_in_force(self):
         """Guards against an instance that misses a record after a restoration."""
         run_random_world(136, 40, kinds=RESTORATION_FAULT_KINDS)
