--- a/src/burdocksail/fakes/_world.py
+++ b/src/burdocksail/fakes/_world.py
@@ -21,6 +21,7 @@
     TransactionState,
 )
 from burdocksail.fakes._fleet import MAX_AGE, SERVICE, Fleet, make_catalog
+from burdocksail.fakes._store import ANSWER_DELAY
 from burdocksail.serving import CallerReply, CallerSession
 
 NO_EFFECT_FAILURES = frozenset({FailureKind.BUSY, FailureKind.ABORTED})
@@ -28,6 +29,7 @@
 CALLER_INTERVAL = 0.25  # seconds between sessions of a caller, on average
 FAULT_INTERVAL = 1.5  # seconds between faults, on average
 FAULT_DURATIONS = (0.5, 8.0)  # seconds, shortest and longest
+STORE_DELAYS = (0.05, 0.8)  # seconds; below the limit of a call
 RESTORED_AGES = (1.0, 12.0)  # seconds that a restoration of the store loses
 RECOVERY_TIME = 20.0  # seconds without faults, after which all must serve again
 APPLY_TIME = 3.0  # seconds after which a configuration must be in force
@@ -389,6 +391,16 @@
         await asyncio.sleep(length)
         client.lose_answers = False
 
+    async def slow_store(self, length: float) -> None:
+        """Delay the calls of some or all instances before they are performed."""
+        names = sorted(self.fleet.clients)
+        slowed = self.random.sample(names, self.random.randint(1, len(names)))
+        for name in slowed:
+            self.fleet.clients[name].delay = self.random.uniform(*STORE_DELAYS)
+        await asyncio.sleep(length)
+        for name in slowed:
+            self.fleet.clients[name].delay = ANSWER_DELAY
+
     async def delay_store_changes(self, length: float) -> None:
         """Apply changes of some or all instances some seconds late, unanswered."""
         names = sorted(self.fleet.clients)
@@ -520,6 +532,8 @@
     World.cut_instance,
     World.cut_store,
     World.lose_store_answers,
+    World.slow_store,
+    World.slow_store,
     World.delay_store_changes,
     World.hang_watches,
     World.crash_primary,
