--- a/src/burdocksail/standin/_simulator.py
+++ b/src/burdocksail/standin/_simulator.py
@@ -567,9 +567,10 @@
             assert isinstance(effect.operation, WatchObjects)
             if answered[0] or not source.alive:
                 return
-            reply = perform_watch(self.store, effect.operation)
             if self.store_faults.down:
-                reply = None
+                self.schedule(WATCH_POLL_INTERVAL, poll)
+                return
+            reply = perform_watch(self.store, effect.operation)
             # The call times out 2 s after its watch (22 s and 20 s), so a watch
             # without changes is answered 2 s before the deadline of the call.
             if reply is None and self.now + STORE_DELAY >= deadline - seconds(2):
