--- a/src/burdocksail/node/_acceptance.py
+++ b/src/burdocksail/node/_acceptance.py
@@ -154,8 +154,8 @@
 def _find_doubtful_versions(board: Blackboard, reply: StoreReply) -> dict[str, int]:
     """Return the versions of listed records that may be older than what is accepted.
 
-    A record is in doubt if its accepted object lacks it, unless this instance was the
-    acceptor before the restoration and knew no later version of the record.
+    These are all, unless this instance was the acceptor before the restoration: then
+    those of which it knew a later version.
     """
     section = board.acceptance
     if reply.timeline <= FIRST_TIMELINE:
@@ -228,9 +228,9 @@
         return False
     if accepted.generation == _make_generation(section, result):
         return True
-    return StoreVersion.from_number(
-        accepted.generation
-    ).revision == result.version and accepted.content == _make_content(result)
+    published = StoreVersion.from_number(accepted.generation)
+    is_same_content = accepted.content == _make_content(result)
+    return published.revision == result.version and is_same_content
 
 
 def _is_doubtful(board: Blackboard, result: ValidationResult) -> bool:
--- a/src/burdocksail/node/_status.py
+++ b/src/burdocksail/node/_status.py
@@ -33,7 +33,8 @@
         Identifies the last update, so that a writer that got no answer can
         tell whether the update was its own.
     timeline : int
-        Timeline of the store in which the object was written.
+        Timeline of the store in which its writer held the lease. A restoration may
+        have lost a later claim if it is an earlier one than the present.
     """
 
     ballot: Ballot
