Begin no second leadership when the answer to a claim is slow

A claim whose record the watch delivered before the answer came began its leadership twice in one epoch. Views are numbered from one in each, so that views of the second were taken for old by instances that had some of the first, and their confirmations of earlier views counted for later ones: work of a replaced primary could have been acknowledged.

A leadership is now begun only in an epoch that is later than the one followed, as was the rule for records that the watch delivers. Evidence: the new test fails without the change.

--- a/src/burdocksail/authority/_controller.py
+++ b/src/burdocksail/authority/_controller.py
@@ -136,11 +136,17 @@
         self._follower.release_lease()
 
     def _begin_leadership(self, stored: StoredObject, asked_at: float) -> None:
-        if self._leadership is not None:
-            self._leadership.end("claimed again")
         leadership = Leadership(
             self._board, self._store, self._peers, self._follower, stored, asked_at
         )
+        if leadership.epoch <= self._board.authority.epoch:
+            # The record was delivered before the claim was answered, or another
+            # instance leads by now. Views are numbered anew with each leadership, so
+            # an epoch may have only one.
+            self._log.info("leadership not begun", epoch=leadership.epoch)
+            return
+        if self._leadership is not None:
+            self._leadership.end("claimed again")
         self._leadership = leadership
         leadership.begin()
         watchdog = Watchdog(self._board, leadership, self._connector, self._promoter)
--- a/src/burdocksail/authority/leadership_test.py
+++ b/src/burdocksail/authority/leadership_test.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
+from burdocksail.authority._leadership import Leadership
 from burdocksail.authority._limits import LEADER_LEASE_DURATION, LEASE_DURATION
 from burdocksail.board import GroupState
 from burdocksail.catalog import ReadPolicy
@@ -234,6 +236,37 @@
 
         run_scenario(scenario)
 
+    def test_slow_answer_to_a_claim_begins_no_second_leadership(self):
+        """The watch delivers the claimed record before the claim is answered.
+
+        Earlier fault: a second leadership of the same epoch numbered its views anew, so
+        that confirmations of earlier views counted for later ones.
+        """
+
+        async def scenario(fleet: Fleet) -> None:
+            fleet.kill(fleet.leader().board.member.name)
+            instance = fleet.instances["instance-1"]
+            claimant = instance._authority._claimant
+            client = claimant._store
+            store = mock.Mock(wraps=client)
+
+            async def answer_late(*args):
+                stored = await client.replace(*args)
+                await asyncio.sleep(0.5)
+                return stored
+
+            store.replace = answer_late
+            with (
+                mock.patch.object(claimant, "_store", store),
+                mock.patch.object(
+                    Leadership, "begin", autospec=True, side_effect=Leadership.begin
+                ) as begin,
+            ):
+                await claimant._claim()
+            self.assertEqual([call.args[0].epoch for call in begin.mock_calls], [2])
+
+        run_scenario(scenario, settle_time=1.0)
+
     def test_lost_answer_to_a_claim_still_makes_a_leader(self):
         """The store has applied the claim, but its reply never arrives."""
 
