Review case 2: a failover promotes a replica that lacks acknowledged commits

With sync_replicas 1, the answer of a draining replica is counted, but its log is not compared with that of the ready replica that is promoted.

--- a/review/standins/databases.py
+++ b/review/standins/databases.py
@@ -1,8 +1,10 @@
 """Stand-in for the database servers of one service, as PROTOCOL.md says.
 
 Each server has a log of commits. Replicas receive a commit after `receive_delay`
-and apply it after `apply_delay` more. A promotion takes effect after `promote_delay`;
-the old primary goes on until STEPDOWN, or for a second after that.
+and apply it after `apply_delay` more; a deaf one receives nothing. With
+`sync_replicas` a commit is acknowledged once as many replicas have received it. A
+promotion takes effect after `promote_delay`; the old primary goes on until STEPDOWN, or
+for a second after that.
 """
 
 import asyncio
@@ -45,8 +47,11 @@
 class Group:
     """The servers of one service."""
 
-    def __init__(self, service: str, record, promote_delay: float):
+    def __init__(
+        self, service: str, record, promote_delay: float, sync_replicas: int = 0
+    ):
         self.service = service
+        self.sync_replicas = sync_replicas
         self.record = record
         self.promote_delay = promote_delay
         self.term = 1
@@ -82,6 +87,7 @@
             server=server.id,
             term=self.term,
             old=None if old is None else old.id,
+            has=[request_id for c in server.log for request_id in c.request_ids],
         )
         loop = asyncio.get_running_loop()
         for other in self.servers.values():
@@ -114,6 +120,7 @@
         self.started_at_ms = started_at_ms
         self.is_running = True
         self.is_primary = False
+        self.is_deaf = False
         self.lead = 0  # raised whenever the server takes or loses the lead
         self.term = 1
         self.state = "ready"
@@ -167,6 +174,25 @@
         for writer in list(self._writers):
             writer.transport.abort()
 
+    def expire(self) -> None:
+        """Let the store remove the entry of a server that says nothing any more."""
+        if not self.is_running:
+            self._store.delete("servers", self.id)
+
+    async def restart(self) -> None:
+        """Come back with the log, as a replica if another server was promoted."""
+        self.is_running = True
+        self.started_at_ms = round(time.time() * 1000)
+        if self.group.primary is not self:
+            self.is_primary = False
+            self.follow(self.group.primary)
+        await self.start()
+
+    def hear_again(self) -> None:
+        """Receive again."""
+        self.is_deaf = False
+        self.receive(self.group.primary)
+
     def become_primary(self, term: int) -> None:
         """Lead a term with what has been received."""
         self.is_primary, self.term = True, term
@@ -202,7 +228,9 @@
 
     def receive(self, primary: "Server") -> None:
         """Receive what the primary has."""
-        if self.is_primary or primary is not self.group.primary or not self.is_running:
+        if self.is_primary or primary is not self.group.primary:
+            return
+        if not primary.is_primary or not self.is_running or self.is_deaf:
             return
         count = len(primary.log)
         if count > len(self.log):
@@ -236,7 +264,9 @@
                     return value
         return "none"
 
-    def _commit(self, writes: list[tuple[str, str]], request_ids: list[str]) -> None:
+    async def _commit(
+        self, writes: list[tuple[str, str]], request_ids: list[str]
+    ) -> None:
         number = self.log[-1].number + 1 if self.log else 1
         commit = Commit(self.term, number, list(writes), list(request_ids))
         self.log.append(commit)
@@ -250,6 +280,13 @@
             present_primary=None if current is None else current.id,
         )
         self.group.replicate(self, commit)
+        while not self._is_received(commit):
+            await asyncio.sleep(0.002)
+
+    def _is_received(self, commit: Commit) -> bool:
+        others = [s for s in self.group.servers.values() if s is not self]
+        holders = sum(any(c is commit for c in s.log[-50:]) for s in others)
+        return holders >= self.group.sync_replicas
 
     async def _serve(self, reader, writer) -> None:
         self._writers.add(writer)
@@ -342,9 +379,11 @@
         await asyncio.sleep(self.work)
         if word == "READ":
             return [f"ROW {self._find_value(rest)}", self._sign()]
-        return self._run_write(session, request_id, rest)
+        return await self._run_write(session, request_id, rest)
 
-    def _run_write(self, session: Session, request_id: str, rest: str) -> list[str]:
+    async def _run_write(
+        self, session: Session, request_id: str, rest: str
+    ) -> list[str]:
         if not self.is_primary:
             return [f"ERROR READONLY {self.id}"]
         item, _, value = rest.partition(" ")
@@ -352,7 +391,7 @@
             session.writes.append((item, value))
             session.request_ids.append(request_id)
         else:
-            self._commit([(item, value)], [request_id])
+            await self._commit([(item, value)], [request_id])
         return [self._sign()]
 
     async def _run_commit(
@@ -366,7 +405,7 @@
             session.end_transaction("E")
             return [f"ERROR READONLY {self.id}"]
         if session.writes:
-            self._commit(session.writes, [*session.request_ids, request_id])
+            await self._commit(session.writes, [*session.request_ids, request_id])
         session.end_transaction()
         return [self._sign()]
 
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -81,10 +81,16 @@
 class Deployment:
     """Everything around the instances, and the instances."""
 
-    def __init__(self, record: Record, folder: Path, instances: list[Instance]):
+    def __init__(
+        self,
+        record: Record,
+        folder: Path,
+        instances: list[Instance],
+        sync_replicas: int = 0,
+    ):
         self.record = record
         self.store = StoreState()
-        self.group = Group(SERVICE, record, PROMOTE_DELAY)
+        self.group = Group(SERVICE, record, PROMOTE_DELAY, sync_replicas)
         self.instances = instances
         self.store_servers: dict[str, StoreServer] = {}
         self.on_order = None
@@ -116,7 +122,7 @@
                         "max_conns": 60,
                         "protocol": "h1",
                         "tls": False,
-                        "sync_replicas": 0,
+                        "sync_replicas": self.group.sync_replicas,
                     }
                 ],
                 "limits": {"max_body_bytes": 262144, "tx_idle_ms": 3000},
--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -39,7 +39,9 @@
 
 def find_free_ports(hosts: list[str], count: int) -> list[int]:
     """Return ports that are free for TCP and UDP at all hosts."""
-    for first in range(21000, 60000, 97):
+    # Two cases that start at the same time begin to look at different ports.
+    start = 21000 + os.getpid() % 100 * 97
+    for first in range(start, 32000, 97):
         ports = list(range(first, first + count))
         if all(_is_free(host, port) for host in hosts for port in ports):
             return ports
