--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,6 +1,6 @@
 """A planned stop exits while sessions that the balancer still sends are served.
 
-Two of the three machines of a zone are stopped one second apart. Fewer than half of
+Two of the three machines of a zone are stopped 1.3 s apart. Fewer than half of
 them are then in rotation, so the platform uses all, also those that are stopping. An
 instance without a session exits 2.3 s after SIGTERM at the earliest, and it goes on
 accepting sessions while it withdraws from the store. Their requests are passed on to a
@@ -21,7 +21,7 @@
 
 ROUNDS = 10
 ROUND_TIME = 7.0  # seconds
-GAP = 1.0  # seconds between the two SIGTERMs of a round; gap_s of roll_term
+GAP = 1.3  # seconds between the two SIGTERMs of a round; gap_s in the site file
 SESSIONS_PER_SECOND = 30  # of the zone, each with one read
 READ_WORK = 0.047  # seconds; work_ms of stock-lookup
 PLANNED_TIME = BOUNDS["grace_s"] + 1.0  # seconds from SIGTERM
