Number the tenures of primaries from the epoch, not from the last recorded number

Cause: the number of a tenure was the recorded number plus two. A leader that had opened a group and could not record that left the next leader to give the same number to another primary, and instances compare only that number.

The number now comes from the epoch, which rises only with an acknowledged claim, and from a counter in the leader's memory. Whether a result is valid depends on service, primary and number. Groups that a restored store has lost and groups that are added later are numbered in the same way.

In memory the same course of events, test_commit_of_an_unrecorded_tenure_is_not_acknowledged_in_the_next, failed before (the COMMIT was acknowledged) and passes.

--- a/src/burdocksail/authority/_change.py
+++ b/src/burdocksail/authority/_change.py
@@ -435,8 +435,7 @@
         leadership = self._leadership
         if leadership.ended:
             raise LeadershipLost("leadership ended during a change")
-        # An earlier leader may have opened the group under the next change number.
-        change = self._old_view.change + 2
+        change = leadership.number_next_change()
         leadership.open_group(
             GroupView(self._service, primary_id, change, GroupState.OPEN)
         )
--- a/src/burdocksail/authority/_claims.py
+++ b/src/burdocksail/authority/_claims.py
@@ -23,6 +23,7 @@
     RecordError,
     decode_record,
     encode_record,
+    number_change,
     restore_record,
 )
 from burdocksail.board import Blackboard
@@ -45,6 +46,7 @@
     StoreUnavailable,
 )
 
+FIRST_EPOCH = 1
 POLL_INTERVAL = 0.1  # seconds
 REPORT_WAIT = 0.2  # seconds; several round trips between regions
 # Seconds; random jitter of up to the same length is added.
@@ -366,10 +368,13 @@
     def _make_first_record(self) -> AuthorityRecord:
         member = self._board.member
         groups = {}
+        change = number_change(FIRST_EPOCH, 0)
         for upstream in self._board.directory.upstreams.values():
             if upstream.role is UpstreamRole.PRIMARY:
-                groups[upstream.service] = GroupRecord(upstream.id, 1, changing=False)
-        return AuthorityRecord(1, member, (member,), (), groups)
+                groups[upstream.service] = GroupRecord(
+                    upstream.id, change, changing=False
+                )
+        return AuthorityRecord(FIRST_EPOCH, member, (member,), (), groups)
 
 
 def find_earlier_record(listing: Listing) -> AuthorityRecord | None:
--- a/src/burdocksail/authority/_follower.py
+++ b/src/burdocksail/authority/_follower.py
@@ -174,7 +174,7 @@
             previous = known.get(view.service_name)
             if previous == view:
                 continue
-            if previous is not None and previous.change != view.change:
+            if previous is not None and not previous.has_same_tenure(view):
                 self._board.samples.for_service(view.service_name).clear()
                 authority.unreachable.pop(view.service_name, None)
                 authority.reached.pop(view.service_name, None)
--- a/src/burdocksail/authority/_leadership.py
+++ b/src/burdocksail/authority/_leadership.py
@@ -21,13 +21,14 @@
     TAKEOVER_TIMEOUT,
 )
 from burdocksail.authority._record import (
-    CHANGES_PER_TIMELINE,
+    CHANGES_PER_EPOCH,
     AuthorityRecord,
     EarlierLeader,
     GroupRecord,
     RecordError,
     decode_record,
     encode_record,
+    number_change,
 )
 from burdocksail.board import MAX_MONITORS, Blackboard, GroupState, GroupView, Member
 from burdocksail.core import BurdocksailError
@@ -48,7 +49,6 @@
     StoreConflict,
     StoredObject,
     StoreUnavailable,
-    count_from_timeline,
 )
 
 CONFIRM_INTERVAL = 1.0  # seconds; several attempts fit into the leader lease
@@ -134,6 +134,7 @@
         self._record_stale = False
         self._recorded_restored = record.restored
         self._generation = 0
+        self._numbered_changes = 0
         self._confirmed_at = asked_at
         self._takeover_requested_at = float("-inf")
         self._monitors: frozenset[Address] = frozenset()
@@ -250,12 +251,26 @@
         Its record may have been lost, so the change of primary that is due now asks
         the servers.
         """
-        change = 1 + count_from_timeline(self.timeline, CHANGES_PER_TIMELINE)
+        change = self.number_next_change()
         self.changing.add(service)
         self.inherited_changes |= {service}
         self.unproven_groups |= {service}
         self.set_view(GroupView(service, primary_id, change, GroupState.CLOSED))
 
+    def number_next_change(self) -> int:
+        """Return a number for a primary's tenure that has never been given before.
+
+        Raises
+        ------
+        LeadershipLost
+            If the numbers of this epoch are used up.
+        """
+        self._numbered_changes += 1
+        if self._numbered_changes >= CHANGES_PER_EPOCH:
+            self.end("the numbers for changes of primary are used up")
+            raise LeadershipLost("no number is left for a change of primary")
+        return number_change(self.epoch, self._numbered_changes)
+
     def find_earlier_orders_end(self, service: str) -> float:
         """Return the clock reading after which no earlier leader's order can arrive.
 
--- a/src/burdocksail/authority/_record.py
+++ b/src/burdocksail/authority/_record.py
@@ -16,7 +16,9 @@
 
 SCHEMA_VERSION = 1
 EPOCHS_PER_TIMELINE = 10**9
-CHANGES_PER_TIMELINE = 10**9
+# Changes of primary that one leader may make in a group.
+CHANGES_PER_EPOCH = 10**4
+CHANGES_PER_TIMELINE = EPOCHS_PER_TIMELINE * CHANGES_PER_EPOCH
 MAX_UNSETTLED = 8  # enough for leaders elected within a few seconds of each other
 
 
@@ -31,8 +33,7 @@
     Attributes
     ----------
     change : int
-        Number of the primary's tenure. It starts at 1; every change of primary
-        raises it, by more than one.
+        Number of the primary's tenure, see `number_change`.
     changing : bool
         Whether a change of primary is in progress or unfinished, so that a
         promotion order may be in flight.
@@ -117,6 +118,21 @@
         )
 
 
+def number_change(epoch: int, count: int) -> int:
+    """Return the number of a primary's tenure that begins in an epoch.
+
+    No leader of another epoch can give the same number to another primary, whether or
+    not the tenure is recorded: an epoch begins only with an acknowledged claim.
+
+    Parameters
+    ----------
+    count : int
+        Tenures that the leader of the epoch has numbered before, less than
+        `CHANGES_PER_EPOCH`. 0 is for the groups in the first record, which get 1.
+    """
+    return (epoch - 1) * CHANGES_PER_EPOCH + 1 + count
+
+
 def restore_record(
     timeline: int,
     member: Member,
--- a/src/burdocksail/authority/_watchdog.py
+++ b/src/burdocksail/authority/_watchdog.py
@@ -1,7 +1,8 @@
 """Failure detection by the leader: decides which groups need another primary."""
 
 import asyncio
-from dataclasses import dataclass
+import contextlib
+from dataclasses import dataclass, replace
 from enum import Enum
 
 import structlog
@@ -120,19 +121,21 @@
         if not primaries and self._board.now() < since + NO_PRIMARY_DELAY:
             return
         for upstream in [*primaries, *servers][:1]:
-            self._leadership.add_unproven_group(service, upstream.id)
+            with contextlib.suppress(LeadershipLost):
+                self._leadership.add_unproven_group(service, upstream.id)
 
     async def _add_group(self, service: str, primary_id: str) -> None:
         leadership = self._leadership
-        closed = GroupView(service, primary_id, 1, GroupState.CLOSED)
-        leadership.views[service] = closed
         try:
+            change = leadership.number_next_change()
+            closed = GroupView(service, primary_id, change, GroupState.CLOSED)
+            leadership.views[service] = closed
             await leadership.write_record()
         except (StoreUnavailable, LeadershipLost) as error:
-            del leadership.views[service]
+            leadership.views.pop(service, None)
             self._log.warning("group not recorded", service=service, reason=str(error))
             return
-        leadership.set_view(GroupView(service, primary_id, 1, GroupState.OPEN))
+        leadership.set_view(replace(closed, state=GroupState.OPEN))
 
     def _check_group(self, service: str) -> None:
         if service in self._running:
--- a/src/burdocksail/authority/change_test.py
+++ b/src/burdocksail/authority/change_test.py
@@ -13,6 +13,7 @@
     SERVICE,
     Fleet,
     MemoryDatabase,
+    MemoryServer,
     make_catalog,
     run_scenario,
     silence_logs,
@@ -37,6 +38,18 @@
         yield
 
 
+async def time_until_promoted(fleet: Fleet, count: int) -> None:
+    """Wait until so many promotions have taken effect."""
+    while len(fleet.database.promotions) < count:
+        await asyncio.sleep(0.005)
+
+
+def follows(fleet: Fleet, name: str, primary: MemoryServer) -> bool:
+    """Return whether an instance sends new work to a primary."""
+    view = fleet.instances[name].board.get_view_for_new_work(SERVICE)
+    return view is not None and view.primary_id == primary.upstream_id
+
+
 class ChangeTest(unittest.TestCase):
     def test_crashed_primary_is_replaced(self):
         """Writes succeed again after a crash, by a single promotion."""
@@ -220,6 +233,47 @@
 
         run_scenario(scenario)
 
+    def test_commit_of_an_unrecorded_tenure_is_not_acknowledged_in_the_next(self):
+        """Two primaries in a row are replaced, and the first change is not recorded.
+
+        Earlier fault: the next leader gave the tenure of its primary the number that
+        the unrecorded one had, so a transaction of that one was acknowledged.
+        """
+
+        async def scenario(fleet: Fleet) -> None:
+            first_leader = fleet.leader().board.member.name
+            others = [name for name in fleet.instances if name != first_leader]
+
+            promote = MemoryDatabase.promote
+
+            async def cut_leader_off(database, service, upstream_id, token):
+                fleet.clients[first_leader].down = True
+                await promote(database, service, upstream_id, token)
+
+            with mock.patch.object(MemoryDatabase, "promote", cut_leader_off):
+                fleet.draining.add("server-0")
+                await time_until_promoted(fleet, 1)
+                replaced = fleet.database.current_primary(SERVICE)
+                await time_until_written(fleet, others[0])
+                sessions = [fleet.session(n, ReadPolicy.PRIMARY) for n in others]
+                for number, session in enumerate(sessions):
+                    await session.execute(Begin(f"b{number}", read_only=False))
+                    reply = await session.execute(Run(f"w{number}", "WRITE", True))
+                    self.assertIsNone(reply.failure_kind)
+                fleet.draining.add(replaced.upstream_id)
+                await time_until_promoted(fleet, 2)
+                present = fleet.database.current_primary(SERVICE)
+                for name in others:
+                    while not follows(fleet, name, present):
+                        await asyncio.sleep(0.005)
+            self.assertNotEqual(fleet.leader().board.member.name, first_leader)
+            self.assertTrue(replaced.is_primary)  # until it reaches the present one
+            for number, session in enumerate(sessions):
+                reply = await session.execute(Commit(f"c{number}"))
+                self.assertIsNotNone(reply.failure_kind)
+
+        run_scenario(scenario)
+
     def test_leaving_primary_hands_over_and_loses_nothing(self):
         """A planned change promotes a replica that has received every commit."""
 
--- a/src/burdocksail/authority/record_test.py
+++ b/src/burdocksail/authority/record_test.py
@@ -3,14 +3,18 @@
 import unittest
 
 from burdocksail.authority._record import (
+    CHANGES_PER_EPOCH,
+    EPOCHS_PER_TIMELINE,
     AuthorityRecord,
     EarlierLeader,
     GroupRecord,
     RecordError,
     decode_record,
     encode_record,
+    number_change,
 )
 from burdocksail.board import Member
+from burdocksail.ports import MAX_TIMELINE, count_from_timeline
 
 SERVICE = "orders"
 
@@ -41,6 +45,20 @@
         self.assertEqual(claimed.epoch, 8)
         self.assertEqual([e.leader for e in claimed.unsettled], [make_member(1)])
 
+    def test_tenures_of_different_leaders_have_different_numbers(self):
+        """Whether or not an earlier leader could record its last tenure.
+
+        Earlier fault: two leaders in a row counted on from the same recorded number.
+        """
+        earlier = [number_change(7, n) for n in range(CHANGES_PER_EPOCH)]
+        later = [number_change(8, n) for n in range(CHANGES_PER_EPOCH)]
+        self.assertLess(max(earlier), min(later))
+        self.assertEqual(len({*earlier, *later}), 2 * CHANGES_PER_EPOCH)
+
+    def test_numbers_of_the_last_timeline_fit_into_a_message(self):
+        epoch = count_from_timeline(MAX_TIMELINE + 1, EPOCHS_PER_TIMELINE)
+        self.assertLess(number_change(epoch, CHANGES_PER_EPOCH), 2**63)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/src/burdocksail/board/_authority.py
+++ b/src/burdocksail/board/_authority.py
@@ -30,8 +30,8 @@
     Attributes
     ----------
     change : int
-        Counter that every change of primary raises, not always by one. It
-        identifies one tenure of a primary, as an epoch identifies one of a leader.
+        Number of the primary's tenure. Every change of primary raises it, not always
+        by one, and no number is given to two tenures of a service.
     """
 
     service_name: str
@@ -39,6 +39,11 @@
     change: int
     state: GroupState
 
+    def has_same_tenure(self, other: "GroupView") -> bool:
+        """Return whether both views are of one tenure of one primary."""
+        tenure = (self.service_name, self.primary_id, self.change)
+        return tenure == (other.service_name, other.primary_id, other.change)
+
 
 @dataclass(slots=True)
 class AuthoritySection:
@@ -130,7 +135,7 @@
         view = self.groups.get(started.service_name)
         return (
             view is not None
-            and view.change == started.change
+            and view.has_same_tenure(started)
             and view.state is not GroupState.CLOSED
             and self.has_valid_lease(now)
         )
--- a/src/burdocksail/ports/__init__.py
+++ b/src/burdocksail/ports/__init__.py
@@ -20,6 +20,7 @@
 from burdocksail.ports._promotion import Promoter
 from burdocksail.ports._store import (
     FIRST_TIMELINE,
+    MAX_TIMELINE,
     Listing,
     ObjectKind,
     ObjectStore,
@@ -39,6 +40,7 @@
 
 __all__ = [
     "FIRST_TIMELINE",
+    "MAX_TIMELINE",
     "ConnectFailed",
     "Connector",
     "HistoryLost",
--- a/src/burdocksail/ports/_store.py
+++ b/src/burdocksail/ports/_store.py
@@ -6,6 +6,7 @@
 from typing import Any, Protocol
 
 FIRST_TIMELINE = 1  # of a store that has never been restored
+MAX_TIMELINE = 10**5  # numbers counted from a timeline have 64 bits in messages
 REVISIONS_PER_TIMELINE = 10**12
 
 
--- a/src/burdocksail/serving/_freshness.py
+++ b/src/burdocksail/serving/_freshness.py
@@ -158,7 +158,7 @@
     """
     authority = board.authority
     current = authority.groups.get(view.service_name)
-    if position is None or current is None or current.change != view.change:
+    if position is None or current is None or not current.has_same_tenure(view):
         return
     authority.reached[view.service_name] = board.now()
     if asked_at >= authority.lease_expires_at:
