Extend no lease by the answer to a renewal of an earlier run

A grant carries the sending time of the renewal that it answers, and a restarted instance at the same address compared that with the present only. A grant in flight to the run before could give it a lease of which the leader does not know: the leader's entry for the new run begins without one.

The answer now has to be to a renewal sent since the start of this run. test_grant_to_an_earlier_run_at_the_address_extends_no_lease failed before.

--- a/src/burdocksail/authority/_follower.py
+++ b/src/burdocksail/authority/_follower.py
@@ -58,6 +58,7 @@
         self._peers = peers
         self._snapshots = snapshots
         self._random = random.Random(board.member.incarnation)
+        self._started_at = board.now()
         self._adopted_at = float("-inf")
         self._has_released = False
         self._log = structlog.get_logger()
@@ -90,7 +91,8 @@
         """Apply the view of a leader, and extend the lease if the grant does.
 
         The lease runs from the sending of the renewal, so it expires here before
-        the leader counts it as expired.
+        the leader counts it as expired. A renewal that was sent before the start of
+        this incarnation was another's: the leader may not count on this one.
         """
         board = self._board
         authority = board.authority
@@ -115,7 +117,7 @@
         applied = grant.groups is not None and self.apply_view(
             grant.epoch, grant.generation, grant.groups
         )
-        if grant.extends_evidence and grant.echo <= now:
+        if grant.extends_evidence and self._started_at <= grant.echo <= now:
             self.extend_lease(grant.echo + LEASE_DURATION)
             self._merge_samples(grant)
         if applied:
--- a/src/burdocksail/authority/leadership_test.py
+++ b/src/burdocksail/authority/leadership_test.py
@@ -119,6 +119,30 @@
 
         run_scenario(scenario)
 
+    def test_grant_to_an_earlier_run_at_the_address_extends_no_lease(self):
+        """It answers a renewal of before the start, so the leader may not know of it.
+
+        Earlier fault: the time of the renewal was compared with the present only.
+        """
+
+        async def scenario(fleet: Fleet) -> None:
+            name = next(
+                n for n in fleet.instances if fleet.leader() is not (fleet.instances[n])
+            )
+            leadership = fleet.leader()._authority._leadership
+            sent_at = fleet.instances[name].board.now()
+            fleet.kill(name)
+            await asyncio.sleep(0.1)
+            fleet.network.isolate(fleet.host(name), fleet.hosts())
+            instance = await fleet.start_instance(name)
+            grant = leadership._make_grant(echo=sent_at, extends_lease=True)
+            leader = fleet.leader().board.member
+            instance._authority.handle_message(grant, leader.address)
+            self.assertEqual(instance.board.authority.groups.keys(), {SERVICE})
+            self.assertFalse(instance.board.authority.has_held_lease)
+
+        run_scenario(scenario)
+
     def test_last_instance_leads_alone(self):
         """No other instance is left to report on the leader or to form a majority."""
 
