Match handovers and claims of the MySQL path as a whole

The answer to a handover was matched by its epoch, so a late answer to an earlier handover of that epoch ended a later one: the order was not repeated, and the group had no leader until the lease ran out if the order was lost. A claim whose answer was lost was recognized by searching its request id in the stored text, which also matches a later claim with a longer id.

--- a/src/burdocksail/node/_claims.py
+++ b/src/burdocksail/node/_claims.py
@@ -270,7 +270,7 @@
         return
     current = reply.objects[0] if reply.objects else None
     won = reply.status is StoreStatus.OK or (
-        current is not None and status.request_id in current.value
+        current is not None and _is_own_claim(current.value, status)
     )
     is_restored = leadership.status_timeline != board.store.timeline
     if not won or current is None or is_restored:
@@ -288,6 +288,14 @@
     )
 
 
+def _is_own_claim(value: str, status: GroupStatus) -> bool:
+    """Return whether a stored status object is the one that was written."""
+    try:
+        return decode_status(value).request_id == status.request_id
+    except StatusError:
+        return False
+
+
 def _read_claim_back(
     board: Blackboard, leadership: Leadership, status: GroupStatus
 ) -> None:
--- a/src/burdocksail/node/_handover.py
+++ b/src/burdocksail/node/_handover.py
@@ -121,7 +121,7 @@
     leadership = board.authority.leaderships.get(message.group)
     if leadership is None or leadership.role is not Role.HANDING_OVER:
         return
-    if leadership.ballot.epoch == message.ballot.epoch:
+    if message.ballot == _next_ballot(leadership):
         leadership.role = Role.FOLLOWER
         leadership.role_since = board.now
         leadership.retry_at = board.now + board.settings.lease_duration
@@ -212,7 +212,6 @@
     successor = leadership.successor
     if successor is None:
         return
-    ballot = Ballot(leadership.ballot.epoch, leadership.ballot.handover + 1)
     # This status is not written to the store, so its request id identifies no update.
     status = _leadership.make_status(board, leadership, "handover")
     board.emit(
@@ -220,7 +219,7 @@
             successor,
             HandOver(
                 leadership.group,
-                ballot,
+                _next_ballot(leadership),
                 encode_status(status),
                 leadership.status_version,
             ),
@@ -229,6 +228,12 @@
     leadership.retry_at = board.now + HANDOVER_RETRY_INTERVAL
 
 
+def _next_ballot(leadership: Leadership) -> Ballot:
+    """Return the ballot under which the successor of a handover leads."""
+    ballot = leadership.ballot
+    return Ballot(ballot.epoch, ballot.handover + 1)
+
+
 def _resend_hand_over(board: Blackboard, leadership: Leadership) -> None:
     """Repeat an unanswered handover, always to the same successor.
 
