Promote only a server that has what every answering server has received

Cause: the answers were counted over all servers, and the position was compared among those that are ready. The choice is now made from one survey, in a module of its own: each server that answers sets the position to be reached; if no ready one reaches it within a second, one that is leaving is promoted. A server that left as planned counts until the one that gets its log is listed.

Services without sync_replicas choose as before, but wait up to a second for a leaving replica's position.

--- a/src/burdocksail/authority/_change.py
+++ b/src/burdocksail/authority/_change.py
@@ -11,6 +11,7 @@
 
 import structlog
 
+from burdocksail.authority._candidates import NoCandidate, Survey, choose_candidate
 from burdocksail.authority._inspection import InspectedServer, Inspector
 from burdocksail.authority._leadership import Leadership, LeadershipLost
 from burdocksail.authority._limits import (
@@ -36,9 +37,9 @@
 CATCH_UP_INTERVAL = 0.06  # seconds; commits in flight to replicas arrive meanwhile
 # Seconds from the promotion order until the server has to be primary.
 BECOME_PRIMARY_TIMEOUT = PROMOTION_ORDER_LIFETIME + 2.0
-# A lost replica may be the only one with the last commits, so it counts among the known
-# replicas for this time; less than the 17 s that a change may take, see `_limits`.
-LOST_REPLICA_WINDOW = 10.0  # seconds
+# A server that is gone may be the only one with the last commits, so it counts among
+# the known ones for this time; less than the 17 s of a change, see `_limits`.
+DEPARTED_SERVER_WINDOW = 10.0  # seconds
 INSPECT_INTERVAL = 0.3  # seconds
 RESTORED_AGE_LIMIT = 30.0  # seconds; age of the copy from which a store is restored
 # Seconds until a promotion that has been ordered takes effect; some hundred ms.
@@ -111,8 +112,8 @@
                     return
                 self._leadership.ordered_groups.add(self._service)
                 await self._write_record()
-            old_status = await self._fence_old_primary()
-            chosen = await self._choose_server(old_status)
+            old_primary = await self._fence_old_primary()
+            chosen = await self._choose_server(old_primary)
             await self._promote(chosen)
             self._open_group(chosen.upstream.id)
         finally:
@@ -125,7 +126,7 @@
 
     async def _record_change(self) -> None:
         leadership = self._leadership
-        inherited = self._service in leadership.inherited_changes
+        inherited = self._is_inherited
         leadership.changing.add(self._service)
         await self._write_record()
         if inherited:
@@ -180,7 +181,7 @@
         if any(s.status.term > present.status.term for s in answers):
             self._log_doubt("another server knows a later term")
             return None
-        if self._is_not_ready(present.upstream):
+        if not self._is_ready(present.upstream):
             self._log_doubt("the primary is leaving")
             return None
         return present.upstream
@@ -203,26 +204,26 @@
             and not directory.lost_of_service(self._service, lost_since)
         )
 
-    async def _fence_old_primary(self) -> ServerStatus | None:
+    async def _fence_old_primary(self) -> InspectedServer | None:
         """Make sure that no work of the old primary is acknowledged any more.
 
         Returns
         -------
-        ServerStatus or None
-            Last status of the old primary, which was asked to step down if it was
-            still primary; None if it is not listed or gave no status in time.
+        InspectedServer or None
+            The old primary and its last status. It was asked to step down if it was
+            still primary. None if it is not listed or gave no status in time.
         """
-        old_status = None
+        old_primary = None
         if self._planned:
             generation = self._set_state(GroupState.HOLDING)
             await self._wait_for_in_flight_work(generation)
-            old_status = await self._step_down()
+            old_primary = await self._step_down()
         generation = self._set_state(GroupState.CLOSED)
         if self._planned or self._service in self._leadership.unproven_groups:
             # The recorded primary of an unproven group may well be the present one,
             # so it is not asked to step down.
             await self._wait_until_confirmed(generation)
-            return old_status
+            return old_primary
         # The old primary is unlikely to answer, so the change does not wait for it.
         step_down_task = asyncio.create_task(self._step_down())
         try:
@@ -241,20 +242,19 @@
                 return
             await asyncio.sleep(POLL_INTERVAL)
 
-    async def _step_down(self) -> ServerStatus | None:
+    async def _step_down(self) -> InspectedServer | None:
         old = self._board.directory.upstreams.get(self._old_view.primary_id)
         if old is None:
             return None
         status = await self._inspector.inspect(old, STEP_DOWN_TIMEOUT)
-        if status is None or not status.is_primary:
-            return status
-        old_status = await self._inspector.step_down(
-            old, status.term + 1, STEP_DOWN_TIMEOUT
-        )
-        self._log.info(
-            "old primary asked to step down", confirmed=old_status is not None
-        )
-        return old_status
+        if status is not None and status.is_primary:
+            status = await self._inspector.step_down(
+                old, status.term + 1, STEP_DOWN_TIMEOUT
+            )
+            self._log.info(
+                "old primary asked to step down", confirmed=status is not None
+            )
+        return None if status is None else InspectedServer(old, status)
 
     async def _wait_until_confirmed(self, generation: int) -> None:
         leadership = self._leadership
@@ -270,64 +270,67 @@
                 self._log.info("waiting for confirmation", silent=unconfirmed[:8])
             await asyncio.sleep(POLL_INTERVAL)
 
-    async def _choose_server(self, old_status: ServerStatus | None) -> InspectedServer:
-        """Return the server to promote: the one with the latest log position.
+    async def _choose_server(
+        self, old_primary: InspectedServer | None
+    ) -> InspectedServer:
+        """Return the server to promote, see `choose_candidate`.
 
-        Wait up to `CATCH_UP_TIMEOUT` for it to hold all that the old primary had
-        received, or, if that is not known, until its position no longer changes.
-        After that the best server is returned as it is; if it is not known what the
-        old primary had received, enough replicas have to answer by then. A server
-        that an earlier leader has promoted is returned at once.
+        The servers have `CATCH_UP_TIMEOUT` to catch up. A server that an earlier
+        leader has promoted is returned at once.
         """
-        required = None if old_status is None else old_status.received
         end = self._board.now() + CATCH_UP_TIMEOUT
         previous: LogPosition | None = None
         while True:
             candidates = self._find_candidates()
             if not candidates:
                 raise ChangeFailed("no server is left to promote")
-            answers_needed = self._count_answers_needed(len(candidates))
+            server_count = self._count_servers()
             answers = await self._inspector.inspect_all(candidates, INSPECT_TIMEOUT)
             promoted_earlier = self._find_promoted_earlier(answers, len(candidates))
             if promoted_earlier is not None:
                 return promoted_earlier
+            survey = Survey(
+                tuple(answers),
+                None if self._is_inherited else old_primary,
+                frozenset(u.id for u in candidates if self._is_ready(u)),
+                server_count,
+                self._sync_replicas,
+            )
             overdue = self._board.now() >= end
-            ready = [s for s in answers if not self._is_not_ready(s.upstream)]
-            if not ready:
-                raise ChangeFailed("no server that is ready answers")
-            best = max(ready, key=_promotion_rank)
-            received = best.status.received
-            if required is not None:
-                caught_up = received >= required
-            elif len(answers) < answers_needed:
-                if overdue:
-                    raise ChangeFailed(
-                        "too few replicas answer to find every acknowledged commit"
-                    )
-                caught_up = False
-            else:
-                caught_up = received == previous
-            if caught_up or overdue:
-                return best
-            previous = received
+            try:
+                chosen = choose_candidate(survey, previous, overdue)
+            except NoCandidate as error:
+                raise ChangeFailed(str(error)) from error
+            if chosen is not None:
+                return chosen
+            best = survey.find_best_ready()
+            previous = None if best is None else best.status.received
             await asyncio.sleep(CATCH_UP_INTERVAL)
 
-    def _count_answers_needed(self, listed_count: int) -> int:
-        """Return how many replicas have to answer to find every acknowledged commit.
-
-        An acknowledged commit is on at least `sync_replicas` of the known
-        replicas. With one more answer than there are replicas that may lack it,
-        one of the answers includes it.
-        """
+    @property
+    def _sync_replicas(self) -> int:
         catalog = self._board.catalog.catalog
         service = None if catalog is None else catalog.services.get(self._service)
-        required_acks = 0 if service is None else service.sync_replicas
-        if required_acks == 0:
-            return 1
-        lost_since = self._board.now() - LOST_REPLICA_WINDOW
-        lost = self._board.directory.lost_of_service(self._service, lost_since)
-        known = listed_count + len([u for u in lost if u != self._old_view.primary_id])
-        return max(1, known - required_acks + 1)
+        return 0 if service is None else service.sync_replicas
+
+    @property
+    def _is_inherited(self) -> bool:
+        return self._service in self._leadership.inherited_changes
+
+    def _count_servers(self) -> int:
+        """Return how many servers may have an acknowledged commit.
+
+        These are the listed ones and those that have left within
+        `DEPARTED_SERVER_WINDOW`. The recorded primary counts even if it left earlier,
+        unless another may have been promoted since.
+        """
+        directory = self._board.directory
+        known = {u.id for u in directory.of_service(self._service)}
+        since = self._board.now() - DEPARTED_SERVER_WINDOW
+        known.update(directory.find_departed_logs(self._service, since))
+        if not self._is_inherited:
+            known.add(self._old_view.primary_id)
+        return len(known)
 
     def _find_promoted_earlier(
         self, answers: list[InspectedServer], candidate_count: int
@@ -339,24 +342,22 @@
         could be such a primary too, so the promotion of the returned server is
         ordered again although it reports itself primary.
         """
-        inherited = self._service in self._leadership.inherited_changes
-        if not inherited or len(answers) < candidate_count:
+        if not self._is_inherited or len(answers) < candidate_count:
             return None
         primaries = [s for s in answers if s.status.is_primary]
         if not primaries:
             return None
         newest = max(primaries, key=lambda s: s.status.term)
-        return None if self._is_not_ready(newest.upstream) else newest
+        return newest if self._is_ready(newest.upstream) else None
 
     def _find_candidates(self) -> list[Upstream]:
-        inherited = self._service in self._leadership.inherited_changes
         servers = self._board.directory.of_service(self._service)
         others = [u for u in servers if u.id != self._old_view.primary_id]
-        return servers if inherited or not others else others
+        return servers if self._is_inherited or not others else others
 
-    def _is_not_ready(self, upstream: Upstream) -> bool:
+    def _is_ready(self, upstream: Upstream) -> bool:
         current = self._board.directory.upstreams.get(upstream.id)
-        return current is None or current.state is not UpstreamState.READY
+        return current is not None and current.state is UpstreamState.READY
 
     async def _promote(self, chosen: InspectedServer) -> None:
         await self._require_right_to_order()
@@ -459,8 +460,3 @@
     if not status.is_primary:
         return False
     return status.term > before.term or (before.is_primary and took_effect)
-
-
-def _promotion_rank(inspected: InspectedServer) -> tuple[LogPosition, int]:
-    status = inspected.status
-    return (status.received, inspected.upstream.started_at_ms)
--- a/src/burdocksail/authority/change_test.py
+++ b/src/burdocksail/authority/change_test.py
@@ -38,6 +38,13 @@
         yield
 
 
+def require_sync_replica(fleet: Fleet) -> None:
+    """Publish that commits wait for one replica."""
+    catalog = make_catalog(9)
+    catalog.services[SERVICE] = Service(SERVICE, 60, sync_replicas=1)
+    fleet.publish(catalog)
+
+
 async def time_until_promoted(fleet: Fleet, count: int) -> None:
     """Wait until so many promotions have taken effect."""
     while len(fleet.database.promotions) < count:
@@ -70,9 +77,7 @@
         """
 
         async def scenario(fleet: Fleet) -> None:
-            catalog = make_catalog(9)
-            catalog.services[SERVICE] = Service(SERVICE, 60, sync_replicas=1)
-            fleet.publish(catalog)
+            require_sync_replica(fleet)
             servers = fleet.database.servers
             servers["server-1"].replication_stopped = True
             await time_until_written(fleet, "instance-1")
@@ -96,9 +101,7 @@
 
         def make_scenario(offset: float):
             async def scenario(fleet: Fleet) -> None:
-                catalog = make_catalog(9)
-                catalog.services[SERVICE] = Service(SERVICE, 60, sync_replicas=1)
-                fleet.publish(catalog)
+                require_sync_replica(fleet)
                 servers = fleet.database.servers
                 servers["server-1"].replication_stopped = True
                 await time_until_written(fleet, "instance-1")
@@ -116,6 +119,31 @@
             with self.subTest(tenths=tenths):
                 run_scenario(make_scenario(tenths / 10))
 
+    def test_failover_keeps_commits_that_only_a_leaving_replica_has(self):
+        """The replica that is ready receives nothing before the primary crashes.
+
+        Earlier fault: the answer of the leaving replica counted towards those needed,
+        but the best server was taken from those that were ready.
+        """
+
+        async def scenario(fleet: Fleet) -> None:
+            require_sync_replica(fleet)
+            servers = fleet.database.servers
+            servers["server-1"].replication_stopped = True
+            fleet.draining.add("server-2")
+            await time_until_written(fleet, "instance-1")
+            await asyncio.sleep(0.5)
+            servers["server-0"].crash()
+            await time_until_promoted(fleet, 1)
+            self.assertEqual(fleet.database.promotions[0][2], "server-2")
+            servers["server-1"].replication_stopped = False
+            while fleet.database.promotions[-1][2] != "server-1":
+                await asyncio.sleep(0.005)
+            self.assertEqual(fleet.database.rolled_back, set())
+            self.assertLess(await time_until_written(fleet, "instance-1"), 1.0)
+
+        run_scenario(scenario)
+
     def test_stale_primary_serves_only_under_its_new_term(self):
         """A stale primary that is promoted again needs a new term before it serves.
 
--- a/src/burdocksail/board/_fleet.py
+++ b/src/burdocksail/board/_fleet.py
@@ -3,7 +3,7 @@
 import random
 from dataclasses import dataclass, field
 
-from burdocksail.catalog import Catalog, Upstream
+from burdocksail.catalog import Catalog, Upstream, UpstreamState
 from burdocksail.ports import StoredObject, StoreVersion
 
 # Enough that some remain when a region is lost; few, as each one loads the store.
@@ -166,6 +166,24 @@
             if lost.service == service and lost.lost_at > after
         ]
 
+    def find_departed_logs(self, service: str, after: float) -> list[str]:
+        """Return the ids of upstreams that left after a clock reading with their log.
+
+        One that left as planned passes its log on to the server that follows it at
+        its address, so it is left out once that is listed.
+        """
+        addresses = {(u.host, u.port) for u in self.of_service(service)}
+        return [
+            upstream_id
+            for upstream_id, departed in self.departed.items()
+            if departed.upstream.service == service
+            and departed.departed_at > after
+            and not (
+                departed.upstream.state is UpstreamState.DRAINING
+                and (departed.upstream.host, departed.upstream.port) in addresses
+            )
+        ]
+
 
 @dataclass(slots=True)
 class MembersSection:
