Begin no planned change while no ready replica has the primary's last commits

The leader now asks for the positions before it begins; the primary goes on until a ready replica has what it had.

--- a/src/burdocksail/authority/_change.py
+++ b/src/burdocksail/authority/_change.py
@@ -104,6 +104,8 @@
         )
         self._board.metrics.count("changes_begun")
         try:
+            if self._planned and self._sync_replicas:
+                await self._wait_for_successor()
             await self._record_change()
             if self._is_unordered():
                 present = await self._find_unchanged_primary()
@@ -119,6 +121,37 @@
         finally:
             self._inspector.close()
 
+    async def _wait_for_successor(self) -> None:
+        """Wait until a ready replica has received what the primary had when asked.
+
+        Until then the primary goes on, as only another server that is leaving, or
+        itself, could be promoted without losing acknowledged commits.
+
+        Raises
+        ------
+        ChangeFailed
+            If no replica has caught up within `CATCH_UP_TIMEOUT`. A primary that gives
+            no status is not waited for.
+        """
+        directory = self._board.directory
+        old = directory.upstreams.get(self._old_view.primary_id)
+        end = self._board.now() + CATCH_UP_TIMEOUT
+        while old is not None:
+            status = await self._inspector.inspect(old, INSPECT_TIMEOUT)
+            if status is None:
+                return
+            replicas = [
+                u
+                for u in directory.of_service(self._service)
+                if u.id != old.id and self._is_ready(u)
+            ]
+            answers = await self._inspector.inspect_all(replicas, INSPECT_TIMEOUT)
+            if any(s.status.received >= status.received for s in answers):
+                return
+            if self._board.now() >= end:
+                raise ChangeFailed("no ready replica has received the last commits")
+            await asyncio.sleep(CATCH_UP_INTERVAL)
+
     def _is_unordered(self) -> bool:
         """Return whether no promotion has been ordered since a restoration."""
         leadership = self._leadership
--- a/src/burdocksail/authority/change_test.py
+++ b/src/burdocksail/authority/change_test.py
@@ -136,14 +136,62 @@
             servers["server-0"].crash()
             await time_until_promoted(fleet, 1)
             self.assertEqual(fleet.database.promotions[0][2], "server-2")
+            await asyncio.sleep(2.0)
+            self.assertEqual(len(fleet.database.promotions), 1)
             servers["server-1"].replication_stopped = False
-            while fleet.database.promotions[-1][2] != "server-1":
-                await asyncio.sleep(0.005)
+            await time_until_promoted(fleet, 2)
+            self.assertEqual(fleet.database.promotions[1][2], "server-1")
             self.assertEqual(fleet.database.rolled_back, set())
             self.assertLess(await time_until_written(fleet, "instance-1"), 1.0)
 
         run_scenario(scenario)
 
+    def test_planned_change_keeps_commits_that_no_ready_replica_has(self):
+        """The replica with the last commits is down when the primary begins to leave.
+
+        Earlier fault: after `CATCH_UP_TIMEOUT` the other replica was promoted as it
+        was, though the old primary had reported a later position.
+        """
+
+        async def scenario(fleet: Fleet) -> None:
+            require_sync_replica(fleet)
+            servers = fleet.database.servers
+            servers["server-1"].replication_stopped = True
+            await time_until_written(fleet, "instance-1")
+            await asyncio.sleep(0.5)
+            servers["server-2"].crash()
+            fleet.draining.add("server-0")
+            await asyncio.sleep(4.0)
+            self.assertEqual(fleet.database.promotions, [])
+            servers["server-2"].alive = True
+            await time_until_promoted(fleet, 1)
+            self.assertEqual(fleet.database.promotions[0][2], "server-2")
+            self.assertEqual(fleet.database.rolled_back, set())
+            self.assertLess(await time_until_written(fleet, "instance-1"), 1.0)
+
+        run_scenario(scenario)
+
+    def test_planned_change_returns_to_the_primary_if_its_successor_is_lost(self):
+        """The only replica with the last commits crashes while the group is held."""
+
+        async def scenario(fleet: Fleet) -> None:
+            require_sync_replica(fleet)
+            servers = fleet.database.servers
+            servers["server-1"].replication_stopped = True
+            session = fleet.session("instance-1", ReadPolicy.PRIMARY)
+            await session.execute(Begin("b", read_only=False))
+            await session.execute(Run("w", "WRITE", True))
+            await time_until_written(fleet, "instance-2")
+            await asyncio.sleep(0.5)
+            fleet.draining.add("server-0")
+            await asyncio.sleep(0.5)  # of the time for the open transaction
+            servers["server-2"].crash()
+            await time_until_promoted(fleet, 1)
+            self.assertEqual(fleet.database.promotions[0][2], "server-0")
+            self.assertEqual(fleet.database.rolled_back, set())
+
+        run_scenario(scenario)
+
     def test_stale_primary_serves_only_under_its_new_term(self):
         """A stale primary that is promoted again needs a new term before it serves.
 
