End the admission of callers before their sessions in a planned stop

Cause: the stop went on at the first moment without a session, withdrew the registration and exited, with the listener open and sessions admitted all the while. Now admission ends first and later callers are told BUSY; sessions, lease, registration and listener follow.

--- a/src/burdocksail/agent/_instance.py
+++ b/src/burdocksail/agent/_instance.py
@@ -27,8 +27,11 @@
 # Seconds until a load balancer that probes each second sends no more callers.
 ROTATION_DELAY = 2.3
 POLL_INTERVAL = 0.05  # seconds
+ADMISSION_MARGIN = 1.0  # seconds of the grace period without new sessions
 EXIT_MARGIN = 0.5  # seconds of the grace period reserved for closing
+WITHDRAW_MARGIN = 0.3  # seconds of the grace period reserved for what needs no session
 WITHDRAW_TIMEOUT = 0.15  # seconds
+LAST_SESSIONS_TIMEOUT = 0.5  # seconds for callers that came after the admission ended
 # An instance stays ready for this long after its lease has expired.
 READINESS_GRACE = 2.0  # seconds
 
@@ -144,21 +147,37 @@
         ):
             self._spawn(coroutine)
 
-    async def stop(self, grace: float) -> None:
-        """Stop within `grace` seconds.
+    @property
+    def admits_sessions(self) -> bool:
+        """Return whether a session may begin here."""
+        return not self.board.stop.admission_ended
+
+    async def stop(
+        self, grace: float, close_listener: Callable[[], None] = lambda: None
+    ) -> None:
+        """Stop within `grace` seconds; the process may exit after that.
+
+        Whatever admits a caller ends before that which serves it: readiness, idle
+        sessions, admission, sessions with their requests, lease, registration,
+        listener. Callers keep arriving until the load balancer has taken this instance
+        out of rotation, and all the time if too few others are in rotation, so the
+        listener stays open until the end; a caller that comes after the admission is
+        told to come back.
 
-        Open transactions have half of this time. Requests are answered by
-        `EXIT_MARGIN` before the end of the grace period; one that was already running
-        when the stop was requested may take half of that longer.
+        Open transactions have half of the time. Requests are answered by `EXIT_MARGIN`
+        before the end of the grace period; one that was already running when the stop
+        was requested may take until `WITHDRAW_MARGIN` before it.
 
-        Callers keep arriving until the load balancer has taken this instance out
-        of rotation. Idle sessions are closed only after that, so that they do not
-        reconnect here.
+        Parameters
+        ----------
+        close_listener : callable
+            Accepts no further connections of callers from then on.
         """
         board = self.board
         if board.stop.requested:
             return
         started_at = board.now()
+        end = started_at + grace
         board.stop.requested_at = started_at
         board.stop.transactions_end_at = started_at + grace / 2
         board.stop.requests_end_at = started_at + grace - EXIT_MARGIN
@@ -166,16 +185,24 @@
         self._log.info("stopping", sessions=len(self.sessions), grace=grace)
         self._authority.request_takeover()
         await asyncio.sleep(min(ROTATION_DELAY, grace / 2))
-        while self.sessions and board.now() < started_at + grace - EXIT_MARGIN:
-            self.sessions.end_idle()
-            await asyncio.sleep(POLL_INTERVAL)
+        await self._end_idle_sessions(end - ADMISSION_MARGIN)
+        board.stop.admission_ended = True
+        self._log.info("admission ended", sessions=len(self.sessions))
+        await self._end_idle_sessions(end - EXIT_MARGIN)
         self.sessions.end_all()
-        while self.sessions and board.now() < started_at + grace - EXIT_MARGIN / 2:
-            await asyncio.sleep(POLL_INTERVAL)
+        await self._wait_until_sessions_ended(end - WITHDRAW_MARGIN)
         self._authority.release_lease()
         await self._withdraw()
+        close_listener()
+        await asyncio.sleep(POLL_INTERVAL)  # until the last accepted ones are counted
+        last = min(board.now() + LAST_SESSIONS_TIMEOUT, end - 2 * POLL_INTERVAL)
+        await self._wait_until_sessions_ended(last)
         self._pools.close()
-        self._log.info("stopped", took=round(board.now() - started_at, 3))
+        self._log.info(
+            "stopped",
+            took=round(board.now() - started_at, 3),
+            sessions_cut=len(self.sessions),
+        )
         if self._log_buffer is not None:
             self._log_buffer.flush()
 
@@ -229,6 +256,16 @@
             "upstreams": self._pools.describe(),
         }
 
+    async def _end_idle_sessions(self, until: float) -> None:
+        """End sessions as they become idle, until there is none or for so long."""
+        while self.sessions and self.board.now() < until:
+            self.sessions.end_idle()
+            await asyncio.sleep(POLL_INTERVAL)
+
+    async def _wait_until_sessions_ended(self, until: float) -> None:
+        while self.sessions and self.board.now() < until:
+            await asyncio.sleep(POLL_INTERVAL)
+
     async def _withdraw(self) -> None:
         try:
             async with asyncio.timeout(WITHDRAW_TIMEOUT):
--- a/src/burdocksail/board/_blackboard.py
+++ b/src/burdocksail/board/_blackboard.py
@@ -31,11 +31,14 @@
         Clock reading at which transactions that are still open are ended.
     requests_end_at : float
         Clock reading by which every request has to be answered.
+    admission_ended : bool
+        Whether no further session may begin.
     """
 
     requested_at: float | None = None
     transactions_end_at: float = float("inf")
     requests_end_at: float = float("inf")
+    admission_ended: bool = False
 
     @property
     def requested(self) -> bool:
