Answer statements that outlast the drain of a planned stop on the MySQL path

A statement that was still running 8 s after the last group had been handed over was cut with the process; its caller saw error 2013.

After the limit the process now waits for the statements that had begun by then, each of which has a deadline, and until their results are out.

Evidence: test_statement_that_outlasts_the_drain_is_answered failed before ("Lost connection to MySQL server during query") and passes.

--- a/src/burdocksail/shell/_process.py
+++ b/src/burdocksail/shell/_process.py
@@ -136,7 +136,8 @@
         The node is idle once it holds no group, request or transaction.
         Callers that keep sending statements are served through other instances
         until the node starts to answer that they should connect elsewhere.
-        Connections that remain at the time limit are closed.
+        Connections that remain at the time limit are closed once the statements
+        that had begun by then are answered; each of these has its own deadline.
         """
         await self._stopped.wait()
         loop = asyncio.get_running_loop()
@@ -144,6 +145,8 @@
         while self._sql.connections and loop.time() < deadline:
             self._sql.close_idle_connections(IDLE_BEFORE_CLOSE_S)
             await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
+        while self._sql.has_statement_since_before(deadline):
+            await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
         await self.close()
         self._log.info("stopped")
 
--- a/src/burdocksail/shell/_sql_server.py
+++ b/src/burdocksail/shell/_sql_server.py
@@ -30,6 +30,7 @@
 LOGIN_TIMEOUT_S = 10.0
 # A login packet holds four strings: user, password, database and plugin.
 LOGIN_STRING_COUNT = 4
+RESULT_WRITE_TIME_S = 0.1  # until the first bytes of a result are in the buffer
 SERVER_VERSION = "8.0.36-burdocksail"
 
 _HEADER = struct.Struct("<I")
@@ -151,6 +152,19 @@
             if now - connection.idle_since >= idle_for_s:
                 connection.stream.writer.close()
 
+    def has_statement_since_before(self, limit: float) -> bool:
+        """Return whether a statement that began before `limit` is not answered yet.
+
+        Parameters
+        ----------
+        limit : float
+            Time of the event loop, in seconds.
+        """
+        return any(
+            connection.is_answering() and connection.started_at < limit
+            for connection in self.connections.values()
+        )
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -254,6 +268,7 @@
             self.result = ResultSet()
             return None
         self.connection.is_running = True
+        self.connection.started_at = asyncio.get_running_loop().time()
         try:
             result = await self.sql_session.run(self.database or "", sql, attrs or {})
         except SqlError as error:
@@ -280,8 +295,15 @@
         super().__init__(stream, adapter, control, identity_provider)
         self.adapter = adapter
         self.is_running = False
+        self.started_at = float("-inf")
         self.idle_since = asyncio.get_running_loop().time()
 
+    def is_answering(self) -> bool:
+        """Return whether a statement runs or its result is being written."""
+        idle_for = asyncio.get_running_loop().time() - self.idle_since
+        is_written = not self.stream.writer.transport.get_write_buffer_size()
+        return self.is_running or idle_for < RESULT_WRITE_TIME_S or not is_written
+
     async def connection_phase(self) -> None:
         try:
             async with asyncio.timeout(LOGIN_TIMEOUT_S):
--- a/src/burdocksail/shell/shell_test.py
+++ b/src/burdocksail/shell/shell_test.py
@@ -4,11 +4,20 @@
 import random
 import struct
 import unittest
+from unittest import mock
+
+import pymysql
 
 from burdocksail.core import Instance, ResultSet, seconds
 from burdocksail.node import MessageArrived, PutObject, StoreStatus, WatchObjects
 from burdocksail.records import hash_password
-from burdocksail.shell import SqlServer, SqlSession
+from burdocksail.shell import (
+    InstanceProcess,
+    InstanceSettings,
+    SqlServer,
+    SqlSession,
+    _process,
+)
 from burdocksail.shell._peers import PeerNetwork
 from burdocksail.shell._sql_server import MAX_PACKET_BYTES
 from burdocksail.shell._store_client import StoreClient
@@ -18,7 +27,10 @@
 TEST_TIMEOUT_S = 20
 GARBAGE_ROUNDS = 40
 CALL_TIMEOUT = seconds(5)
+SLOW_STATEMENT = "DO 1"
+SLOW_STATEMENT_S = 0.6
 INSTANCE = Instance("a", "1", "inari", HOST, 0)
+SETTINGS = InstanceSettings("a", "inari", HOST, 0, 0, 0, f"http://{HOST}:1", b"key")
 
 
 class EmptyResultSession(SqlSession):
@@ -46,6 +58,13 @@
     return received
 
 
+def run_statement(port):
+    """Run a statement in a session of its own and return the affected rows."""
+    connection = pymysql.connect(host=HOST, port=port, user="desk", password="x")
+    with connection.cursor() as cursor:
+        return cursor.execute(SLOW_STATEMENT)
+
+
 class StoreClientTest(unittest.IsolatedAsyncioTestCase):
     async def test_watch_from_a_revision_that_a_restoration_lost_is_refused(self):
         """Guards against a watch that waits for a revision to be given out again."""
@@ -106,6 +125,33 @@
         self.assertEqual(EmptyResultSession.opened, 0)
 
 
+class SlowSession(EmptyResultSession):
+    """Answers `SLOW_STATEMENT` after `SLOW_STATEMENT_S`."""
+
+    running = asyncio.Event()
+
+    async def run(self, database, sql, attributes):
+        if sql == SLOW_STATEMENT:
+            SlowSession.running.set()
+            await asyncio.sleep(SLOW_STATEMENT_S)
+        return await super().run(database, sql, attributes)
+
+
+class StopTest(unittest.IsolatedAsyncioTestCase):
+    async def test_statement_that_outlasts_the_drain_is_answered(self):
+        """Guards against a planned stop that cuts a statement at its time limit."""
+        process = InstanceProcess(SETTINGS)
+        process._sql = SqlServer(SlowSession, lambda name: hash_password("x"))
+        port = await process._sql.start(HOST, 0)
+        running = asyncio.create_task(asyncio.to_thread(run_statement, port))
+        await SlowSession.running.wait()
+        process._stopped.set()
+        with mock.patch.object(_process, "CALLER_DRAIN_TIMEOUT_S", 0.1):
+            async with asyncio.timeout(TEST_TIMEOUT_S):
+                await process.wait_until_stopped()
+                self.assertEqual(await running, 1)
+
+
 class PeerNetworkTest(unittest.IsolatedAsyncioTestCase):
     async def test_garbage_and_foreign_keys_deliver_no_message(self):
         """Guards against messages from senders without the shared key.
