Accept nothing that cannot be sent on, and let an odd object cost only itself

Members have a usable IPv4 address, port and names, in objects and in messages. A message that cannot be encoded is reported. The authority record is malformed if messages cannot hold it, and the first one names configured services only. Log lines are bounded, and one that cannot be rendered is replaced. On the MySQL path deep nesting counts as malformed.

--- a/src/burdocksail/agent/_logging.py
+++ b/src/burdocksail/agent/_logging.py
@@ -1,14 +1,21 @@
 """Logging of JSON lines to standard output, without blocking the process."""
 
 import contextlib
+import json
 import os
 from collections import deque
+from collections.abc import Mapping, MutableMapping
+from typing import Any
 
 import structlog
 
 MAX_BUFFERED_LINES = 2000  # a few seconds at the highest log rate
+MAX_LINE_LENGTH = 8192
+ALWAYS_RENDERED = ("event", "level", "timestamp", "instance", "failure_domain")
 STDOUT_FD = 1
 
+_render = structlog.processors.JSONRenderer()
+
 
 class LineBuffer:
     """Buffers log lines until the descriptor accepts them; drops new ones when full."""
@@ -46,6 +53,26 @@
                 return
 
 
+def render_line(logger: object, name: str, event: MutableMapping[str, Any]) -> str:
+    """Return an event as a line of JSON of at most `MAX_LINE_LENGTH` characters.
+
+    One that cannot be rendered, or is longer, is represented by its name and size: an
+    odd value must not end the controller that logs it.
+    """
+    try:
+        line = _render(logger, name, event)
+    except (ValueError, TypeError, RecursionError) as error:
+        return _render_substitute(event, problem=type(error).__name__)
+    if len(line) > MAX_LINE_LENGTH:
+        return _render_substitute(event, problem="too long", length=len(line))
+    return line
+
+
+def _render_substitute(event: Mapping[str, Any], **details: str | int) -> str:
+    kept = {k: str(event[k])[:200] for k in ALWAYS_RENDERED if k in event}
+    return json.dumps({**kept, **details})
+
+
 def configure_logging(instance: str, failure_domain: str) -> LineBuffer:
     """Configure the logs of this process; return the buffer to flush regularly."""
     buffer = LineBuffer()
@@ -56,7 +83,7 @@
             structlog.contextvars.merge_contextvars,
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper(fmt="iso", utc=True),
-            structlog.processors.JSONRenderer(),
+            render_line,
         ],
         logger_factory=lambda *_: buffer,
         cache_logger_on_first_use=True,
--- a/src/burdocksail/authority/_claims.py
+++ b/src/burdocksail/authority/_claims.py
@@ -369,8 +369,10 @@
         member = self._board.member
         groups = {}
         change = number_change(FIRST_EPOCH, 0)
+        catalog = self._board.catalog.catalog
         for upstream in self._board.directory.upstreams.values():
-            if upstream.role is UpstreamRole.PRIMARY:
+            is_named = catalog is None or upstream.service in catalog.services
+            if is_named and upstream.role is UpstreamRole.PRIMARY:
                 groups[upstream.service] = GroupRecord(
                     upstream.id, change, changing=False
                 )
--- a/src/burdocksail/authority/_record.py
+++ b/src/burdocksail/authority/_record.py
@@ -11,7 +11,7 @@
 
 from burdocksail.board import GroupState, GroupView, Member
 from burdocksail.core import BurdocksailError
-from burdocksail.fleet import encode_member
+from burdocksail.fleet import encode_member, is_addressable
 from burdocksail.ports import count_from_timeline
 
 SCHEMA_VERSION = 1
@@ -19,6 +19,7 @@
 # Changes of primary that one leader may make in a group.
 CHANGES_PER_EPOCH = 10**4
 CHANGES_PER_TIMELINE = EPOCHS_PER_TIMELINE * CHANGES_PER_EPOCH
+MAX_MESSAGE_NUMBER = 2**63 - 1
 MAX_UNSETTLED = 8  # enough for leaders elected within a few seconds of each other
 
 
@@ -232,6 +233,19 @@
     try:
         if spec["schema_version"] != SCHEMA_VERSION:
             raise RecordError(f"schema version {spec['schema_version']} is unknown")
-        return msgspec.convert(spec, AuthorityRecord)
-    except (LookupError, TypeError, ValueError) as error:
+        record = msgspec.convert(spec, AuthorityRecord)
+    except (LookupError, TypeError, ValueError, RecursionError) as error:
         raise RecordError(f"malformed authority record: {error}") from error
+    if not _is_sendable(record):
+        raise RecordError("the authority record does not fit into messages")
+    return record
+
+
+def _is_sendable(record: AuthorityRecord) -> bool:
+    """Return whether messages can hold the numbers and members of a record."""
+    earlier = [m for e in record.unsettled for m in (e.leader, *e.members)]
+    members = (record.leader, *record.members, *earlier)
+    numbers = (record.epoch, *(group.change for group in record.groups.values()))
+    return all(map(is_addressable, members)) and all(
+        0 <= number <= MAX_MESSAGE_NUMBER for number in numbers
+    )
--- a/src/burdocksail/fleet/__init__.py
+++ b/src/burdocksail/fleet/__init__.py
@@ -7,6 +7,7 @@
     decode_snapshot,
     encode_message,
     encode_snapshot,
+    is_sendable,
 )
 from burdocksail.fleet._messages import (
     Farewell,
@@ -25,6 +26,7 @@
     Registration,
     decode_member,
     encode_member,
+    is_addressable,
     make_object_name,
 )
 from burdocksail.fleet._snapshots import SnapshotExchange
@@ -62,6 +64,8 @@
     "encode_member",
     "encode_message",
     "encode_snapshot",
+    "is_addressable",
+    "is_sendable",
     "make_authority_name",
     "make_object_name",
 ]
--- a/src/burdocksail/fleet/_codec.py
+++ b/src/burdocksail/fleet/_codec.py
@@ -9,6 +9,7 @@
 
 from burdocksail.core import BurdocksailError
 from burdocksail.fleet._messages import Message
+from burdocksail.fleet._registration import is_addressable
 from burdocksail.ports import StoredObject, StoreVersion
 from burdocksail.structs import EnvelopeCodec, StructCodec, StructError
 
@@ -18,6 +19,10 @@
 _codec = StructCodec(_idl)
 _envelopes = EnvelopeCodec(_codec, _idl, Message)
 
+MAX_ITEM_BYTES = 16 << 10  # many times an upstream's entry
+MAX_NAME_LENGTH = 255  # an upstream's name is in messages, which have little space
+MAX_SPEC_DEPTH = 64
+
 
 class MessageError(BurdocksailError):
     """Bytes from another process are not a well-formed message or snapshot."""
@@ -41,8 +46,19 @@
 
 
 def encode_message(message: Message) -> bytes:
-    """Return the datagram for a message."""
-    return _envelopes.encode(message)
+    """Return the datagram for a message.
+
+    Raises
+    ------
+    MessageError
+        If the message holds what cannot be encoded.
+    """
+    try:
+        return _envelopes.encode(message)
+    except Exception as error:
+        # What the thrift library cannot encode makes it raise errors of many types.
+        reason = f"{type(message).__name__} not encoded: {type(error).__name__}"
+        raise MessageError(reason) from error
 
 
 def decode_message(payload: bytes) -> Message:
@@ -51,22 +67,62 @@
     Raises
     ------
     MessageError
-        If the datagram does not begin with one well-formed message; bytes after it
-        are ignored.
+        If the datagram does not begin with one well-formed message, or names an
+        instance to which nothing can be sent; bytes after the message are ignored.
     """
     try:
-        return _envelopes.decode(payload)
+        message = _envelopes.decode(payload)
     except StructError as error:
         raise MessageError(str(error)) from error
+    for role in ("member", "leader"):
+        member = getattr(message, role, None)
+        if member is not None and not is_addressable(member):
+            raise MessageError(f"the {role} has no usable address or name")
+    return message
+
+
+def is_sendable(stored: StoredObject, max_bytes: int = MAX_ITEM_BYTES) -> bool:
+    """Return whether an object can be sent to other instances in a snapshot.
+
+    One that cannot is not to be accepted: instances that learn of it in different
+    ways would not agree. Nor is one with text that is not Unicode.
+    """
+    if _is_deep(stored.spec):
+        return False
+    try:
+        text = json.dumps(stored.spec, ensure_ascii=False)
+        size = len(text.encode()) + len(stored.name.encode())
+        return size <= max_bytes and len(stored.name) <= MAX_NAME_LENGTH
+    except (ValueError, TypeError):
+        return False
+
+
+def _is_deep(value: typing.Any) -> bool:
+    """Return whether a JSON value has more than `MAX_SPEC_DEPTH` levels."""
+    level = [value]
+    for _ in range(MAX_SPEC_DEPTH):
+        level = [
+            child
+            for item in level
+            if isinstance(item, list | dict)
+            for child in (item.values() if isinstance(item, dict) else item)
+        ]
+        if not level:
+            return False
+    return True
 
 
 def encode_snapshot(snapshot: Snapshot) -> bytes:
-    """Return the serialized snapshot."""
+    """Return the serialized snapshot; objects that cannot be encoded are left out."""
     catalog = snapshot.catalog
     return _codec.write(
         _idl.Snapshot(
             catalog=None if catalog is None else _encode_item(catalog),
-            upstreams=[_encode_item(item) for item in snapshot.upstreams],
+            upstreams=[
+                item
+                for u in snapshot.upstreams
+                if (item := _encode_item(u)) is not None
+            ],
             directory_revision=snapshot.directory_version.revision,
             timeline=snapshot.directory_version.timeline,
         )
@@ -74,7 +130,7 @@
 
 
 def decode_snapshot(payload: bytes) -> Snapshot:
-    """Return the snapshot in `payload`.
+    """Return the snapshot in `payload`, without the objects that cannot be read.
 
     Raises
     ------
@@ -86,7 +142,11 @@
         catalog = struct.catalog
         return Snapshot(
             None if catalog is None else _decode_item(catalog),
-            tuple(_decode_item(item) for item in struct.upstreams),
+            tuple(
+                stored
+                for item in struct.upstreams
+                if (stored := _decode_item(item)) is not None
+            ),
             StoreVersion(int(struct.timeline), int(struct.directory_revision)),
         )
     except Exception as error:
@@ -94,7 +154,12 @@
 
 
 def _encode_item(stored: StoredObject) -> typing.Any:
-    spec = json.dumps(stored.spec, separators=(",", ":"))
+    """Return the struct of an object, None if it cannot be encoded."""
+    try:
+        spec = json.dumps(stored.spec, separators=(",", ":"))
+        stored.name.encode()
+    except (ValueError, TypeError, RecursionError):
+        return None
     return _idl.SnapshotItem(
         name=stored.name,
         revision=stored.revision,
@@ -103,7 +168,10 @@
     )
 
 
-def _decode_item(item: typing.Any) -> StoredObject:
-    return StoredObject(
-        item.name, int(item.revision), json.loads(item.spec), int(item.timeline)
-    )
+def _decode_item(item: typing.Any) -> StoredObject | None:
+    """Return the object of a struct, None if it cannot be read."""
+    try:
+        spec = json.loads(item.spec)
+    except (ValueError, TypeError, RecursionError):
+        return None
+    return StoredObject(str(item.name), int(item.revision), spec, int(item.timeline))
--- a/src/burdocksail/fleet/_peers.py
+++ b/src/burdocksail/fleet/_peers.py
@@ -76,9 +76,16 @@
             self._server.close()
 
     def send(self, address: Address, message: Message) -> None:
-        """Send a datagram, which may be lost; does nothing once closed."""
-        if self._transport is not None and not self._transport.is_closing():
+        """Send a datagram, which may be lost; does nothing once closed.
+
+        A message that cannot be sent is reported as malformed.
+        """
+        if self._transport is None or self._transport.is_closing():
+            return
+        try:
             self._transport.sendto(encode_message(message), address)
+        except MessageError as error:
+            self._report_malformed(address, error)
 
     def datagram_received(self, data: bytes, addr: Address) -> None:
         """Decode a datagram and pass the message to `receive`.
--- a/src/burdocksail/fleet/_registration.py
+++ b/src/burdocksail/fleet/_registration.py
@@ -1,6 +1,7 @@
 """Registration of an instance: the store object that holds its address."""
 
 import asyncio
+import ipaddress
 
 import msgspec
 import structlog
@@ -9,6 +10,8 @@
 from burdocksail.ports import ObjectKind, ObjectStore, StoreConflict, StoreUnavailable
 
 INSTANCE_PREFIX = "instance."
+MAX_PORT = 65535
+MAX_NAMES_BYTES = 1024  # of a member; a datagram may name one for each instance
 # Longest wait between two checks, and pause after a failed write.
 RETRY_DELAY = 0.5  # seconds
 
@@ -25,9 +28,21 @@
 def decode_member(spec: object) -> Member | None:
     """Return the instance that an object describes; None if it is malformed."""
     try:
-        return msgspec.convert(spec, Member)
-    except msgspec.ValidationError:
+        member = msgspec.convert(spec, Member)
+    except (msgspec.ValidationError, RecursionError):
         return None
+    return member if is_addressable(member) else None
+
+
+def is_addressable(member: Member) -> bool:
+    """Return whether messages can be sent to an instance and can name it."""
+    names = (member.name, member.incarnation, member.failure_domain)
+    try:
+        ipaddress.IPv4Address(member.host)
+        total = sum(len(name.encode()) for name in names)
+    except ValueError:
+        return False
+    return 0 < member.port <= MAX_PORT and total <= MAX_NAMES_BYTES
 
 
 def encode_member(member: Member) -> dict[str, str | int]:
--- a/src/burdocksail/node/_acceptance.py
+++ b/src/burdocksail/node/_acceptance.py
@@ -304,7 +304,7 @@
     try:
         value = json.loads(stored.value)
         generation, content = int(value["generation"]), str(value["content"])
-    except (ValueError, KeyError, TypeError):
+    except (ValueError, KeyError, TypeError, RecursionError):
         board.metrics.count("accepted_objects_malformed")
     section.accepted[path] = AcceptedObject(stored.version, generation, content)
 
--- a/src/burdocksail/node/_configuration.py
+++ b/src/burdocksail/node/_configuration.py
@@ -141,7 +141,7 @@
 
     Raises
     ------
-    ValueError, KeyError, TypeError
+    ValueError, KeyError, TypeError, RecursionError
         If the object is malformed.
     """
     value = json.loads(stored.value)
@@ -219,7 +219,7 @@
     for stored in reply.objects:
         try:
             items.append(decode_accepted(stored, reply.timeline))
-        except (ValueError, KeyError, TypeError):
+        except (ValueError, KeyError, TypeError, RecursionError):
             board.metrics.count("accepted_objects_malformed")
     apply_items(board, tuple(items))
     section = board.configuration
--- a/src/burdocksail/node/_status.py
+++ b/src/burdocksail/node/_status.py
@@ -96,7 +96,7 @@
             request_id=value["request_id"],
             timeline=int(value.get("timeline", FIRST_TIMELINE)),
         )
-    except (ValueError, KeyError, TypeError) as error:
+    except (ValueError, KeyError, TypeError, RecursionError) as error:
         raise StatusError(f"malformed status object: {error}") from error
 
 
--- a/src/burdocksail/ports/__init__.py
+++ b/src/burdocksail/ports/__init__.py
@@ -21,6 +21,7 @@
 from burdocksail.ports._store import (
     FIRST_TIMELINE,
     MAX_TIMELINE,
+    REVISIONS_PER_TIMELINE,
     Listing,
     ObjectKind,
     ObjectStore,
@@ -41,6 +42,7 @@
 __all__ = [
     "FIRST_TIMELINE",
     "MAX_TIMELINE",
+    "REVISIONS_PER_TIMELINE",
     "ConnectFailed",
     "Connector",
     "HistoryLost",
