Tell the first restoration of a store that counts from 0

An answer that names era 0 now shows that the store began there; the authority record keeps that together with its own timeline. Numbers are counted from there, and a copy's record is not taken for one of the present. Stores that begin at 1 or name no era behave as before.

--- a/src/burdocksail/authority/_claims.py
+++ b/src/burdocksail/authority/_claims.py
@@ -254,18 +254,18 @@
         name = make_authority_name(timeline)
         try:
             stored = await self._store.read(ObjectKind.FLEET, name)
-            if stored is None:
-                record = await self._prepare_first_record(timeline)
+            current = None
+            if stored is not None:
+                self._require_timeline(stored, timeline)
+                current = decode_record(stored.spec)
+            if current is None or current.is_of_earlier_timeline(timeline):
+                record = await self._prepare_first_record(timeline, current)
                 if record is None:
                     self._takeover_until = takeover_until
                     return
-                claimed = await self._store.create(
-                    ObjectKind.FLEET, name, encode_record(record)
-                )
+                claimed = await self._write_first_record(name, record, stored)
                 self._require_timeline(claimed, timeline)
             else:
-                self._require_timeline(stored, timeline)
-                current = decode_record(stored.spec)
                 self._record_seen = True
                 if self._is_own_unused_claim(current):
                     self._on_claimed(stored, asked_at)
@@ -332,21 +332,37 @@
         if stored.timeline != timeline or self._board.store.timeline != timeline:
             raise StoreUnavailable("the store was restored", outcome_unknown=True)
 
-    async def _prepare_first_record(self, timeline: int) -> AuthorityRecord | None:
+    async def _write_first_record(
+        self, name: str, record: AuthorityRecord, earlier: StoredObject | None
+    ) -> StoredObject:
+        """Write the first record of a timeline, over one of the copy if there is."""
+        spec = encode_record(record)
+        if earlier is None:
+            return await self._store.create(ObjectKind.FLEET, name, spec)
+        return await self._store.replace(ObjectKind.FLEET, name, spec, earlier.revision)
+
+    async def _prepare_first_record(
+        self, timeline: int, earlier: AuthorityRecord | None
+    ) -> AuthorityRecord | None:
         """Return the first record of a timeline; None if it is not due yet.
 
         After a restoration of the store it is due once no order of a leader of an
         earlier timeline can be sent any more.
+
+        Parameters
+        ----------
+        earlier : AuthorityRecord or None
+            Record of an earlier timeline under the name of that of this one.
         """
         board = self._board
         listing = await self._store.list(ObjectKind.FLEET)
         if listing.version.timeline != timeline or board.store.timeline != timeline:
             return None
-        earlier = find_earlier_record(listing)
+        earlier = earlier or find_earlier_record(listing)
         authority = board.authority
-        is_restored = timeline > FIRST_TIMELINE
+        is_restored = board.store.is_restored
         if not is_restored and earlier is None and authority.epoch == 0:
-            return self._make_first_record()
+            return self._make_first_record(timeline)
         if self._find_claim_wait() > 0.0:
             return None
         self._log.info(
@@ -363,9 +379,10 @@
             earlier,
             authority.groups,
             authority.has_valid_lease(board.now()),
+            board.store.first_timeline,
         )
 
-    def _make_first_record(self) -> AuthorityRecord:
+    def _make_first_record(self, timeline: int) -> AuthorityRecord:
         member = self._board.member
         groups = {}
         change = number_change(FIRST_EPOCH, 0)
@@ -376,7 +393,15 @@
                 groups[upstream.service] = GroupRecord(
                     upstream.id, change, changing=False
                 )
-        return AuthorityRecord(FIRST_EPOCH, member, (member,), (), groups)
+        return AuthorityRecord(
+            FIRST_EPOCH,
+            member,
+            (member,),
+            (),
+            groups,
+            timeline=timeline,
+            first_timeline=self._board.store.first_timeline,
+        )
 
 
 def find_earlier_record(listing: Listing) -> AuthorityRecord | None:
--- a/src/burdocksail/authority/_controller.py
+++ b/src/burdocksail/authority/_controller.py
@@ -95,6 +95,8 @@
         except RecordError as error:
             self._log.error("record unreadable", reason=str(error))
             return
+        if record.is_of_earlier_timeline(stored.timeline):
+            return
         if self._leadership is not None:
             self._leadership.check_record(stored)
         if record.leader != self._board.member:
--- a/src/burdocksail/authority/_leadership.py
+++ b/src/burdocksail/authority/_leadership.py
@@ -101,7 +101,8 @@
     ):
         record = decode_record(stored.spec)
         self.epoch = record.epoch
-        self.fencing_token = stored.version.to_number()
+        self.first_timeline = record.first_timeline
+        self.fencing_token = stored.version.to_number(self.first_timeline)
         self.timeline = stored.timeline
         self.started_at = board.now()
         self.ended = False
@@ -507,6 +508,8 @@
             tuple(EarlierLeader(*item) for item in earlier.items()),
             groups,
             self.is_restored and not self.earlier_leases_ended,
+            self.timeline,
+            self.first_timeline,
         )
 
     async def _remove_silent_instances(self) -> None:
--- a/src/burdocksail/authority/_record.py
+++ b/src/burdocksail/authority/_record.py
@@ -12,7 +12,7 @@
 from burdocksail.board import GroupState, GroupView, Member
 from burdocksail.core import BurdocksailError
 from burdocksail.fleet import encode_member, is_addressable
-from burdocksail.ports import count_from_timeline
+from burdocksail.ports import FIRST_TIMELINE, count_from_timeline
 
 SCHEMA_VERSION = 1
 EPOCHS_PER_TIMELINE = 10**9
@@ -84,6 +84,10 @@
     restored : bool
         Whether the store was restored a short time ago, so that leaders whose
         claims were lost may still grant leases.
+    timeline : int or None
+        Timeline of the store for which it was written; None if it does not say.
+    first_timeline : int
+        Timeline with which the store began, from which numbers are counted.
     """
 
     epoch: int
@@ -92,14 +96,25 @@
     unsettled: tuple[EarlierLeader, ...]
     groups: Mapping[str, GroupRecord]
     restored: bool = False
+    timeline: int | None = None
+    first_timeline: int = FIRST_TIMELINE
+
+    def is_of_earlier_timeline(self, timeline: int) -> bool:
+        """Return whether a copy of the store has brought this record back.
+
+        The records of timelines 0 and `FIRST_TIMELINE` have the same name.
+        """
+        return self.timeline is not None and self.timeline < timeline
 
     def starts_timeline(self, timeline: int) -> bool:
         """Return whether this is the first record of the timeline of a restored store.
 
         Its leader has no predecessor in that timeline.
         """
-        first_epoch = count_from_timeline(timeline, EPOCHS_PER_TIMELINE) + 1
-        return self.restored and self.epoch == first_epoch
+        lost_epochs = count_from_timeline(
+            timeline, EPOCHS_PER_TIMELINE, self.first_timeline
+        )
+        return self.restored and self.epoch == lost_epochs + 1
 
     def with_group(self, service: str, group: GroupRecord) -> "AuthorityRecord":
         """Return a copy of the record with the entry of one service replaced."""
@@ -116,6 +131,8 @@
             unsettled=tuple(earlier[:MAX_UNSETTLED]),
             groups=self.groups,
             restored=self.restored,
+            timeline=self.timeline,
+            first_timeline=self.first_timeline,
         )
 
 
@@ -141,6 +158,7 @@
     earlier: AuthorityRecord | None,
     views: Mapping[str, GroupView],
     views_valid: bool,
+    first_timeline: int = FIRST_TIMELINE,
 ) -> AuthorityRecord:
     """Return the first record of a timeline after a restoration of the store.
 
@@ -163,7 +181,11 @@
         Whether a lease proves that no later change of primary has begun. Otherwise
         every group is recorded as changing: it is closed until its servers have been
         asked which one is primary.
+    first_timeline : int
+        Timeline with which the store began, as far as that instance knows.
     """
+    if earlier is not None:
+        first_timeline = min(first_timeline, earlier.first_timeline)
     groups = {} if earlier is None else dict(earlier.groups)
     for service, view in views.items():
         recorded = groups.get(service)
@@ -173,14 +195,17 @@
                 view.primary_id, view.change, not is_open, not is_open
             )
     if not views_valid:
-        first_change = count_from_timeline(timeline, CHANGES_PER_TIMELINE)
+        first_change = count_from_timeline(
+            timeline, CHANGES_PER_TIMELINE, first_timeline
+        )
         groups = {
             service: GroupRecord(
                 group.primary_id, max(group.change, first_change), True, True
             )
             for service, group in groups.items()
         }
-    known_epochs = [known_epoch, count_from_timeline(timeline, EPOCHS_PER_TIMELINE)]
+    lost_epochs = count_from_timeline(timeline, EPOCHS_PER_TIMELINE, first_timeline)
+    known_epochs = [known_epoch, lost_epochs]
     unsettled: tuple[EarlierLeader, ...] = ()
     if earlier is not None:
         known_epochs.append(earlier.epoch)
@@ -192,6 +217,8 @@
         unsettled=unsettled[:MAX_UNSETTLED],
         groups=groups,
         restored=True,
+        timeline=timeline,
+        first_timeline=first_timeline,
     )
 
 
@@ -219,6 +246,8 @@
             for service, group in record.groups.items()
         },
         "restored": record.restored,
+        "timeline": record.timeline,
+        "first_timeline": record.first_timeline,
     }
 
 
--- a/src/burdocksail/authority/_watchdog.py
+++ b/src/burdocksail/authority/_watchdog.py
@@ -12,7 +12,7 @@
 from burdocksail.authority._leadership import Leadership, LeadershipLost
 from burdocksail.board import Blackboard, GroupState, GroupView
 from burdocksail.catalog import Upstream, UpstreamRole, UpstreamState
-from burdocksail.ports import FIRST_TIMELINE, Connector, Promoter, StoreUnavailable
+from burdocksail.ports import Connector, Promoter, StoreUnavailable
 
 POLL_INTERVAL = 0.1  # seconds
 RETRY_DELAY = 0.3  # seconds after a change that failed
@@ -108,7 +108,7 @@
                 continue
             servers = self._board.directory.of_service(service)
             primaries = [u for u in servers if u.role is UpstreamRole.PRIMARY]
-            if self._leadership.timeline > FIRST_TIMELINE:
+            if self._leadership.timeline > self._leadership.first_timeline:
                 self._add_unproven_group(service, primaries, servers)
             elif len(primaries) == 1:
                 task = asyncio.create_task(self._add_group(service, primaries[0].id))
--- a/src/burdocksail/board/_fleet.py
+++ b/src/burdocksail/board/_fleet.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 
 from burdocksail.catalog import Catalog, Upstream, UpstreamState
-from burdocksail.ports import StoredObject, StoreVersion
+from burdocksail.ports import FIRST_TIMELINE, StoredObject, StoreVersion
 
 # Enough that some remain when a region is lost; few, as each one loads the store.
 MAX_MONITORS = 8  # instances besides the leader
@@ -258,12 +258,20 @@
         Latest timeline of the store that an answer has reported.
     timeline_since : float
         Clock reading at which that was.
+    first_timeline : int
+        Timeline with which the store began, as far as an answer has shown it.
     """
 
     last_success: float | None = None
     failing_since: float | None = None
     timeline: int = 0
     timeline_since: float = float("-inf")
+    first_timeline: int = FIRST_TIMELINE
+
+    @property
+    def is_restored(self) -> bool:
+        """Return whether the store has been restored from an earlier copy."""
+        return self.timeline > self.first_timeline
 
     @property
     def is_available(self) -> bool:
--- a/src/burdocksail/fakes/_store.py
+++ b/src/burdocksail/fakes/_store.py
@@ -14,6 +14,7 @@
 
 from burdocksail.board import Signal
 from burdocksail.ports import (
+    FIRST_TIMELINE,
     HistoryLost,
     Listing,
     ObjectKind,
@@ -194,6 +195,7 @@
     delay: float = ANSWER_DELAY
     calls: Counter[ObjectKind] = field(default_factory=Counter)
     timeline: int = 0
+    first_timeline: int = FIRST_TIMELINE
     _late_changes: set[asyncio.Task] = field(default_factory=set)
 
     async def list(self, kind: ObjectKind) -> Listing:
@@ -295,12 +297,16 @@
         self.calls[kind] += 1
         await asyncio.sleep(self.delay)
         self._check_available()
-        self.timeline = self.store.timeline
+        self._record_timeline()
 
     def _version(self) -> StoreVersion:
-        self.timeline = self.store.timeline
+        self._record_timeline()
         return StoreVersion(self.store.timeline, self.store.revision)
 
+    def _record_timeline(self) -> None:
+        self.timeline = self.store.timeline
+        self.first_timeline = min(self.first_timeline, self.timeline)
+
     def _check_available(self) -> None:
         if self.down:
             raise StoreUnavailable("the store is down")
--- a/src/burdocksail/fakes/restoration_test.py
+++ b/src/burdocksail/fakes/restoration_test.py
@@ -12,6 +12,9 @@
 from burdocksail.fakes import (
     SERVICE,
     Fleet,
+    MemoryStore,
+    MemoryStoreClient,
+    _scenarios,
     run_in_virtual_time,
     run_scenario,
     silence_logs,
@@ -66,6 +69,30 @@
 
         run_scenario(scenario, settle_time=6.0)
 
+    def test_fencing_token_does_not_go_back_if_no_instance_saw_the_restoration(self):
+        """All instances are lost with the store; the copy alone tells of earlier ones."""
+
+        async def scenario(fleet: Fleet) -> None:
+            raise_revision(fleet, 60)
+            killed = await kill_leader(fleet)
+            await asyncio.sleep(2.5)
+            await fleet.start_instance(killed)
+            fleet.database.servers["server-0"].crash()
+            await time_until_written(fleet, killed)
+            for name in list(fleet.instances):
+                fleet.kill(name)
+            await fleet.restore_store(age=8.0, outage=0.5)
+            for name in list(fleet.clients):
+                fleet.clients[name] = MemoryStoreClient(fleet.store)
+                await fleet.start_instance(name)
+            fleet.database.current_primary(SERVICE).crash()
+            await time_until_written(fleet, killed)
+            tokens = [token for _, token in fleet.database.fencing_tokens]
+            self.assertGreater(len(set(tokens)), 1)
+            self.assertEqual(tokens, sorted(tokens))
+
+        run_scenario(scenario, settle_time=6.0)
+
     def test_two_leaders_do_not_share_an_epoch(self):
         """Whose claim is lost keeps leading, while others claim the same epoch."""
 
@@ -295,9 +322,10 @@
             store = mock.Mock(wraps=client)
 
             async def read_after_restoration(*args):
+                timeline = fleet.store.timeline
                 fleet.store.restore(age=0.0)
                 await asyncio.sleep(0.5)
-                self.assertEqual(instance.board.store.timeline, 2)
+                self.assertEqual(instance.board.store.timeline, timeline + 1)
                 return await client.read(*args)
 
             store.read = read_after_restoration
@@ -386,6 +414,20 @@
         run_scenario(scenario, settle_time=6.0)
 
 
+class ZeroTimelineTest(AuthorityTest):
+    """The same with a store that counts its restorations from 0.
+
+    Earlier fault: its timelines 0 and 1 were taken for one.
+    """
+
+    def setUp(self):
+        patch = mock.patch.object(
+            _scenarios, "Fleet", lambda: Fleet(store=MemoryStore(timeline=0))
+        )
+        patch.start()
+        self.addCleanup(patch.stop)
+
+
 class TrackingTest(unittest.TestCase):
     def test_draining_server_gets_no_new_work(self):
         """Its new entry has a lower revision than the known one.
--- a/src/burdocksail/fleet/_tracking.py
+++ b/src/burdocksail/fleet/_tracking.py
@@ -283,7 +283,7 @@
         """
         restored_at = self._board.store.timeline_since
         is_settled = (
-            self._board.store.timeline <= FIRST_TIMELINE
+            not self._board.store.is_restored
             or self._board.now() > restored_at + MAX_STALE_AGE
         )
         return is_settled and not self._should_watch_fleet()
@@ -334,6 +334,7 @@
     def _record_timeline(self) -> None:
         """Record that an answer has shown that the store was restored."""
         section = self._board.store
+        section.first_timeline = min(section.first_timeline, self._store.first_timeline)
         if self._store.timeline > section.timeline:
             self._log.info(
                 "store timeline",
--- a/src/burdocksail/ports/_store.py
+++ b/src/burdocksail/ports/_store.py
@@ -5,7 +5,8 @@
 from enum import Enum
 from typing import Any, Protocol
 
-FIRST_TIMELINE = 1  # of a store that has never been restored
+# Of a store that has never been restored, unless an answer has named timeline 0.
+FIRST_TIMELINE = 1
 MAX_TIMELINE = 10**5  # numbers counted from a timeline have 64 bits in messages
 REVISIONS_PER_TIMELINE = 10**12
 
@@ -39,14 +40,15 @@
     timeline: int = 0
     revision: int = 0
 
-    def to_number(self) -> int:
+    def to_number(self, first_timeline: int = FIRST_TIMELINE) -> int:
         """Return a number that is greater for a later version.
 
         It is the revision itself while the store has never been restored.
         """
-        return count_from_timeline(self.timeline, REVISIONS_PER_TIMELINE) + (
-            self.revision
+        restored = count_from_timeline(
+            self.timeline, REVISIONS_PER_TIMELINE, first_timeline
         )
+        return restored + self.revision
 
     @classmethod
     def from_number(cls, number: int) -> "StoreVersion":
@@ -55,7 +57,9 @@
         return cls(FIRST_TIMELINE + earlier, revision) if number else cls()
 
 
-def count_from_timeline(timeline: int, counts: int) -> int:
+def count_from_timeline(
+    timeline: int, counts: int, first_timeline: int = FIRST_TIMELINE
+) -> int:
     """Return the number after which a counter goes on in a timeline.
 
     It is above all numbers that the counter had in earlier timelines, also those
@@ -65,8 +69,10 @@
     ----------
     counts : int
         Numbers that the counter may use in one timeline.
+    first_timeline : int
+        Timeline with which the store began, 0 or `FIRST_TIMELINE`.
     """
-    return max(0, timeline - FIRST_TIMELINE) * counts
+    return max(0, timeline - first_timeline) * counts
 
 
 @dataclass(frozen=True, slots=True)
@@ -128,9 +134,12 @@
     ----------
     timeline : int
         Latest timeline of the store that any answer has reported.
+    first_timeline : int
+        0 if an answer has reported timeline 0, else `FIRST_TIMELINE`.
     """
 
     timeline: int
+    first_timeline: int
 
     async def list(self, kind: ObjectKind) -> Listing:
         """Return all objects of a kind."""
