Refuse serialized containers that announce more elements than they hold

A datagram of eight bytes stopped the instance that received it for 8.6 s: the thrift library skips a list of an unknown field element by element, also where an element takes no bytes.

--- a/src/burdocksail/fakes/restoration_test.py
+++ b/src/burdocksail/fakes/restoration_test.py
@@ -70,7 +70,7 @@
         run_scenario(scenario, settle_time=6.0)
 
     def test_fencing_token_does_not_go_back_if_no_instance_saw_the_restoration(self):
-        """All instances are lost with the store; the copy alone tells of earlier ones."""
+        """All instances are lost with the store; the copy alone tells of others."""
 
         async def scenario(fleet: Fleet) -> None:
             raise_revision(fleet, 60)
--- a/src/burdocksail/structs/_codec.py
+++ b/src/burdocksail/structs/_codec.py
@@ -17,17 +17,14 @@
 from thriftpy2.transport import TMemoryBuffer
 from thriftpy2.transport.buffered import TCyBufferedTransport
 
-from burdocksail.core import BurdocksailError
+from burdocksail.structs._containers import check_containers
+from burdocksail.structs._errors import StructError
 
 Converter = Callable[[Any], Any]
 
 _MICROSECOND = timedelta(microseconds=1)
 
 
-class StructError(BurdocksailError):
-    """Received bytes or structs do not match the expected struct."""
-
-
 @dataclass(frozen=True, slots=True)
 class FieldCodec:
     """Custom conversion of a field whose type hint does not determine it."""
@@ -100,7 +97,13 @@
         """Fill `struct` from `payload` and return it.
 
         Errors of the thrift library on malformed bytes pass through.
+
+        Raises
+        ------
+        StructError
+            If a container announces more elements than there are.
         """
+        check_containers(payload)
         transport = TCyBufferedTransport(TMemoryBuffer(payload))
         TCyBinaryProtocol(transport).read_struct(struct)
         return struct
--- a/src/burdocksail/structs/_envelope.py
+++ b/src/burdocksail/structs/_envelope.py
@@ -3,7 +3,8 @@
 import typing
 from typing import Any
 
-from burdocksail.structs._codec import StructCodec, StructError
+from burdocksail.structs._codec import StructCodec
+from burdocksail.structs._errors import StructError
 
 
 class EnvelopeCodec:
