--- a/src/burdocksail/fakes/restoration_test.py
+++ b/src/burdocksail/fakes/restoration_test.py
@@ -47,17 +47,23 @@
         fleet.store.put(ObjectKind.FLEET, "unused", {"index": index})
 
 
+async def change_leader_and_primary(fleet: Fleet) -> str:
+    """Replace the leader, then the primary; return the name of the former leader."""
+    raise_revision(fleet, 60)
+    killed = await kill_leader(fleet)
+    await asyncio.sleep(2.5)
+    await fleet.start_instance(killed)
+    fleet.database.servers["server-0"].crash()
+    await time_until_written(fleet, killed)
+    return killed
+
+
 class AuthorityTest(unittest.TestCase):
     def test_fencing_token_does_not_go_back(self):
         """The claim and the promotion of the present leader are lost in the store."""
 
         async def scenario(fleet: Fleet) -> None:
-            raise_revision(fleet, 60)
-            killed = await kill_leader(fleet)
-            await asyncio.sleep(2.5)
-            await fleet.start_instance(killed)
-            fleet.database.servers["server-0"].crash()
-            await time_until_written(fleet, killed)
+            killed = await change_leader_and_primary(fleet)
             await fleet.restore_store(age=8.0, outage=0.5)
             killed = await kill_leader(fleet)
             await fleet.start_instance(killed)
@@ -73,12 +79,7 @@
         """All instances are lost with the store; the copy alone tells of others."""
 
         async def scenario(fleet: Fleet) -> None:
-            raise_revision(fleet, 60)
-            killed = await kill_leader(fleet)
-            await asyncio.sleep(2.5)
-            await fleet.start_instance(killed)
-            fleet.database.servers["server-0"].crash()
-            await time_until_written(fleet, killed)
+            killed = await change_leader_and_primary(fleet)
             for name in list(fleet.instances):
                 fleet.kill(name)
             await fleet.restore_store(age=8.0, outage=0.5)
