Resolve callers' keys to workspaces, and open server connections for them

A key now names a workspace; unknown and revoked keys are told DENIED, a connection belongs to the workspace in its START. Without workspaces nothing changes.

--- a/src/burdocksail/catalog/__init__.py
+++ b/src/burdocksail/catalog/__init__.py
@@ -9,13 +9,23 @@
     UpstreamRole,
     UpstreamState,
 )
+from burdocksail.catalog._workspaces import (
+    SALT_BYTES,
+    Workspace,
+    Workspaces,
+    digest_key,
+)
 
 __all__ = [
     "Catalog",
     "ReadPolicy",
     "Route",
+    "SALT_BYTES",
     "Service",
     "Upstream",
     "UpstreamRole",
     "UpstreamState",
+    "Workspace",
+    "Workspaces",
+    "digest_key",
 ]
--- a/src/burdocksail/catalog/_records.py
+++ b/src/burdocksail/catalog/_records.py
@@ -3,6 +3,8 @@
 from dataclasses import dataclass
 from enum import Enum
 
+from burdocksail.catalog._workspaces import Workspaces
+
 
 class ReadPolicy(Enum):
     """Which commits a read on a route has to see.
@@ -43,6 +45,9 @@
         Time in which a whole operation should be answered, in seconds.
     priority : int
         Priority for connections and retries; 0 is the highest.
+    requires_key : bool
+        Whether callers have to identify their workspace, if the configuration holds
+        workspaces.
     """
 
     name: str
@@ -53,6 +58,7 @@
     statement_timeout: float
     target_latency: float
     priority: int
+    requires_key: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -95,6 +101,9 @@
     max_statement_bytes : int
         Maximum length of a caller's statement. Named in bytes, compared in
         characters.
+    workspaces : Workspaces or None
+        The teams that share the fleet; None if the configuration does not separate
+        any, and callers need no keys.
     """
 
     version: int
@@ -102,6 +111,7 @@
     services: dict[str, Service]
     transaction_idle_timeout: float
     max_statement_bytes: int
+    workspaces: Workspaces | None = None
 
 
 class UpstreamState(Enum):
--- a/src/burdocksail/core/_commands.py
+++ b/src/burdocksail/core/_commands.py
@@ -142,3 +142,4 @@
     UNKNOWN_STATEMENT = "unknown_statement"
     UNKNOWN_DATABASE = "unknown_database"
     MALFORMED = "malformed"
+    DENIED = "denied"  # the caller's key is unknown or withdrawn
--- a/src/burdocksail/fakes/_fleet.py
+++ b/src/burdocksail/fakes/_fleet.py
@@ -52,6 +52,10 @@
         """Return the catalog of an object, or None if it holds none."""
         return stored.spec.get("catalog")
 
+    def conceal_secrets(self, stored: StoredObject) -> StoredObject:
+        """Return the object unchanged; decoded catalogs hold no secrets."""
+        return stored
+
 
 def make_catalog(version: int = 1, databases: tuple[str, ...] = ()) -> Catalog:
     """Return a catalog with one route for each read policy of `SERVICE`.
--- a/src/burdocksail/fakes/_servers.py
+++ b/src/burdocksail/fakes/_servers.py
@@ -439,7 +439,9 @@
         self._database = database
         self._instance = instance
 
-    async def connect(self, upstream: Upstream, timeout: float) -> MemoryConnection:
+    async def connect(
+        self, upstream: Upstream, timeout: float, workspace: str = ""
+    ) -> MemoryConnection:
         """Open a connection to a server.
 
         Raises
--- a/src/burdocksail/fleet/_tracking.py
+++ b/src/burdocksail/fleet/_tracking.py
@@ -370,6 +370,7 @@
     def _apply_catalog(self, stored: StoredObject, removed: bool) -> None:
         if removed:
             return
+        stored = self._decoder.conceal_secrets(stored)
         catalog = self._decoder.decode_catalog(stored)
         section = self._board.catalog
         if catalog is None:
--- a/src/burdocksail/ports/_decoding.py
+++ b/src/burdocksail/ports/_decoding.py
@@ -16,3 +16,10 @@
     def decode_catalog(self, stored: StoredObject) -> Catalog | None:
         """Return the catalog that an object holds, or None if it holds no valid one."""
         ...
+
+    def conceal_secrets(self, stored: StoredObject) -> StoredObject:
+        """Return an object of the configuration without secrets in plain text.
+
+        What it returns can be decoded, logged and sent to other instances.
+        """
+        ...
--- a/src/burdocksail/ports/_upstreams.py
+++ b/src/burdocksail/ports/_upstreams.py
@@ -171,13 +171,18 @@
 class Connector(Protocol):
     """Opens connections to upstreams."""
 
-    async def connect(self, upstream: Upstream, timeout: float) -> UpstreamConnection:
+    async def connect(
+        self, upstream: Upstream, timeout: float, workspace: str = ""
+    ) -> UpstreamConnection:
         """Connect to an upstream and verify its identity.
 
         Parameters
         ----------
         timeout : float
             Time limit of opening the connection, in seconds.
+        workspace : str
+            Whose statements the connection is for, for as long as it is open; empty
+            for none.
 
         Raises
         ------
--- a/src/burdocksail/serving/_context.py
+++ b/src/burdocksail/serving/_context.py
@@ -31,11 +31,14 @@
         Prepared statements by the names that the caller chose.
     commits : SessionCommits
         Positions of the session's own commits.
+    workspace : str
+        Workspace of the caller; empty if it has none.
     """
 
     variables: dict[str, str] = field(default_factory=dict)
     prepared: dict[str, PreparedStatement] = field(default_factory=dict)
     commits: SessionCommits = field(default_factory=SessionCommits)
+    workspace: str = ""
 
 
 class ServingContext:
--- a/src/burdocksail/serving/_freshness.py
+++ b/src/burdocksail/serving/_freshness.py
@@ -219,7 +219,7 @@
             return
         pool = self._pools.get(upstream)
         try:
-            connection = await pool.acquire(PROBE_ORDER, PROBE_TIMEOUT)
+            connection = await pool.acquire(PROBE_ORDER, PROBE_TIMEOUT, None)
         except NoConnection as error:
             if error.unreachable:
                 self._mark_unreachable(view, str(error))
--- a/src/burdocksail/serving/_pools.py
+++ b/src/burdocksail/serving/_pools.py
@@ -4,6 +4,7 @@
 import heapq
 import itertools
 import random
+from collections import Counter
 from dataclasses import dataclass, field
 
 import structlog
@@ -53,6 +54,8 @@
 
     Attributes
     ----------
+    workspace : str
+        Workspace whose statements it may run; empty for those of no workspace.
     variables : dict of str to str
         Session variables that are set.
     prepared : dict of (str, bool) to str
@@ -63,6 +66,7 @@
 
     upstream: Upstream
     connection: UpstreamConnection
+    workspace: str = ""
     variables: dict[str, str] = field(default_factory=dict)
     prepared: dict[tuple[str, bool], str] = field(default_factory=dict)
     idle_since: float = 0.0
@@ -84,10 +88,14 @@
 
 @dataclass(order=True, slots=True)
 class _Waiter:
-    """A request that waits for a connection; lower `order` is served first."""
+    """A request that waits for a connection; lower `order` is served first.
+
+    A `workspace` of None may use a connection of any workspace.
+    """
 
     order: float
     sequence: int
+    workspace: str | None = field(compare=False)
     future: asyncio.Future = field(compare=False)
 
 
@@ -104,6 +112,7 @@
         self._idle: list[PooledConnection] = []
         self._in_use: set[int] = set()
         self._opening = 0
+        self._opening_by_workspace: Counter[str] = Counter()
         self._waiters: list[_Waiter] = []
         self._sequence = itertools.count()
         self._opening_window = OpeningWindow()
@@ -133,13 +142,17 @@
         """Return whether no connection is in use, awaited or being opened."""
         return not self._in_use and not self._waiters and not self._opening
 
-    async def acquire(self, order: float, timeout: float) -> PooledConnection:
+    async def acquire(
+        self, order: float, timeout: float, workspace: str | None = ""
+    ) -> PooledConnection:
         """Return a connection for exclusive use; `release` gives it back.
 
         Parameters
         ----------
         order : float
             Requests with a lower value are served first.
+        workspace : str or None
+            Workspace to which the connection has to belong; None for any.
 
         Raises
         ------
@@ -148,14 +161,15 @@
             is closed, if opening one fails while none is in use, or if the requests
             that are served first take longer than that.
         """
-        connection = self._take_idle()
+        connection = self._take_idle(workspace)
         if connection is not None:
             return connection
         if self._closed:
             raise NoConnection("the upstream is not in use any more")
         self._check_expected_wait(order, timeout)
         future = asyncio.get_running_loop().create_future()
-        heapq.heappush(self._waiters, _Waiter(order, next(self._sequence), future))
+        waiter = _Waiter(order, next(self._sequence), workspace, future)
+        heapq.heappush(self._waiters, waiter)
         self._open_if_needed()
         try:
             done, _ = await asyncio.wait((future,), timeout=max(0.0, timeout))
@@ -233,26 +247,33 @@
         while self._idle and self.size > retained:
             self._idle.pop(0).close()
 
-    def _take_idle(self) -> PooledConnection | None:
-        """Return an idle connection if another may be used, else None."""
-        while self._idle and self.statistics.concurrency.allows(len(self._in_use)):
-            connection = self._idle.pop()
-            if connection.is_open:
+    def _take_idle(self, workspace: str | None) -> PooledConnection | None:
+        """Return an idle connection of a workspace if another may be used, else None.
+
+        Connections that are known to be closed are dropped.
+        """
+        self._idle = [c for c in self._idle if c.is_open]
+        if not self.statistics.concurrency.allows(len(self._in_use)):
+            return None
+        for connection in reversed(self._idle):
+            if workspace is None or connection.workspace == workspace:
+                self._idle.remove(connection)
                 self._in_use.add(id(connection))
                 return connection
         return None
 
     def _serve_waiters(self) -> None:
         """Hand idle connections to the requests that wait for one."""
-        while self._waiters:
-            if self._waiters[0].future.done():
-                heapq.heappop(self._waiters)
-                continue
-            connection = self._take_idle()
-            if connection is None:
-                return
-            heapq.heappop(self._waiters).future.set_result(connection)
-            self._drain.record_hand_out(self._board.now(), self.waiting > 0)
+        self._waiters = [w for w in self._waiters if not w.future.done()]
+        for waiter in sorted(self._waiters):
+            if not self._idle:
+                break
+            connection = self._take_idle(waiter.workspace)
+            if connection is not None:
+                waiter.future.set_result(connection)
+                self._drain.record_hand_out(self._board.now(), self.waiting > 0)
+        self._waiters = [w for w in self._waiters if not w.future.done()]
+        heapq.heapify(self._waiters)
 
     def _withdraw_waiter(self, future: asyncio.Future) -> None:
         """End a wait whose request is gone; return a connection handed out already."""
@@ -270,26 +291,49 @@
             raise NoConnection("the queue is too long", expected_wait=expected)
 
     def _open_if_needed(self) -> None:
-        waiting = self.waiting
-        if waiting <= self._opening:
-            return
-        capacity = compute_budget(self._board, self.upstream).capacity
-        while (
-            waiting > self._opening
-            and self.size < capacity
-            and self._opening_window.may_open(self._opening, self._board.now())
-            and self.statistics.concurrency.allows(len(self._in_use) + self._opening)
-            and not self._closed
-        ):
+        """Open connections for waiting requests that have none under way."""
+        for workspace in self._find_unprovided():
+            if not self._may_open():
+                return
+            if self.size >= compute_budget(self._board, self.upstream).capacity:
+                if not self._idle:
+                    return
+                self._idle.pop(0).close()  # the one that was used least recently
             self._opening += 1
-            task = asyncio.create_task(self._open())
+            self._opening_by_workspace[workspace] += 1
+            task = asyncio.create_task(self._open(workspace))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
 
-    async def _open(self) -> None:
+    def _find_unprovided(self) -> list[str]:
+        """Return the workspaces of waiting requests without a connection being opened.
+
+        In the order of the requests; a workspace appears once for each of them.
+        """
+        opening = Counter(self._opening_by_workspace)
+        unprovided = []
+        for waiter in sorted(w for w in self._waiters if not w.future.done()):
+            workspace = waiter.workspace or ""
+            if opening[workspace] > 0:
+                opening[workspace] -= 1
+            else:
+                unprovided.append(workspace)
+        return unprovided
+
+    def _may_open(self) -> bool:
+        """Return whether another connection may be opened now, the budget apart."""
+        return (
+            not self._closed
+            and self._opening_window.may_open(self._opening, self._board.now())
+            and self.statistics.concurrency.allows(len(self._in_use) + self._opening)
+        )
+
+    async def _open(self, workspace: str) -> None:
         board = self._board
         try:
-            raw = await self._connector.connect(self.upstream, CONNECT_TIMEOUT)
+            raw = await self._connector.connect(
+                self.upstream, CONNECT_TIMEOUT, workspace
+            )
         except ConnectFailed as error:
             server_full = isinstance(error, TooManyConnections)
             self._back_off(server_full)
@@ -307,11 +351,14 @@
             return
         finally:
             self._opening -= 1
+            self._opening_by_workspace[workspace] -= 1
         self._opening_window.record_opened()
         self._last_failure = ""
         self._server_full = False
         board.metrics.count("connections_opened")
-        connection = PooledConnection(self.upstream, raw, idle_since=board.now())
+        connection = PooledConnection(
+            self.upstream, raw, workspace, idle_since=board.now()
+        )
         if self._closed:
             connection.close()
         else:
--- a/src/burdocksail/serving/_sessions.py
+++ b/src/burdocksail/serving/_sessions.py
@@ -3,7 +3,7 @@
 import contextlib
 from functools import singledispatchmethod
 
-from burdocksail.catalog import ReadPolicy, Route
+from burdocksail.catalog import Catalog, ReadPolicy, Route
 from burdocksail.core import (
     Begin,
     CallerCommand,
@@ -23,15 +23,27 @@
 from burdocksail.serving._statements import run_at_primary, run_read
 from burdocksail.serving._transactions import Transaction
 
+# Failures after which a session is of no further use.
+SESSION_ENDS = frozenset({FailureKind.UNKNOWN_DATABASE, FailureKind.DENIED})
 DEFAULT_TRANSACTION_IDLE_TIMEOUT = 3.0  # seconds, while there is no configuration
 
 
 class CallerSession:
-    """One caller's session; commands must not be executed concurrently."""
+    """One caller's session; commands must not be executed concurrently.
 
-    def __init__(self, serving: ServingContext, database: str):
+    Parameters
+    ----------
+    key : str
+        Key by which the caller identifies its workspace. It never leaves this object.
+    """
+
+    def __init__(self, serving: ServingContext, database: str, key: str = ""):
         self.database = database
         self._serving = serving
+        self._key = key
+        self._checked_catalog: Catalog | None = None
+        self._is_authorized = True
+        self._has_changed_workspace = False
         self._session_state = SessionState()
         self._transaction: Transaction | None = None
         self._failed = False
@@ -51,6 +63,11 @@
         board = self._serving.board
         started = board.now()
         try:
+            if not self.is_authorized():
+                await self._deny()
+            if self._has_changed_workspace:
+                self._has_changed_workspace = False
+                await self.end_transaction("the key has moved to another workspace")
             if self._failed and not isinstance(command, Commit | Rollback):
                 raise self._make_failed_transaction_error()
             reply = await self._run(command)
@@ -61,6 +78,18 @@
         board.metrics.record("command", board.now() - started)
         return reply
 
+    def is_authorized(self) -> bool:
+        """Return whether the configuration in force lets this caller use its database.
+
+        Resolves the caller's workspace anew whenever a configuration has come into
+        force, so a withdrawn key loses its right with the version that withdraws it.
+        """
+        catalog = self._serving.board.catalog.catalog
+        if catalog is not self._checked_catalog:
+            self._checked_catalog = catalog
+            self._authorize(catalog)
+        return self._is_authorized
+
     def compute_idle_timeout(self) -> float:
         """Return the seconds for which an open transaction may stay idle.
 
@@ -76,8 +105,8 @@
         )
         return max(0.0, min(idle, until_stop))
 
-    async def end_idle_transaction(self, reason: str) -> None:
-        """Roll back a transaction that its caller has left idle, if one is open.
+    async def end_transaction(self, reason: str) -> None:
+        """Roll back the open transaction, if there is one, between two commands.
 
         The session is then in a failed transaction, and `reason` goes into the
         reply to the caller's next statement.
@@ -205,7 +234,7 @@
             failure_kind=error.failure_kind,
             message=error.message,
             retry_after=error.retry_after,
-            ends_session=error.failure_kind is FailureKind.UNKNOWN_DATABASE,
+            ends_session=error.failure_kind in SESSION_ENDS,
         )
 
     def _make_failed_transaction_error(self) -> CommandFailed:
@@ -219,6 +248,32 @@
             return CommandFailed(FailureKind.ABORTED, reason, retry_after=0.0)
         return CommandFailed(FailureKind.MALFORMED, "the transaction has failed")
 
+    def _authorize(self, catalog: Catalog) -> None:
+        if catalog.workspaces is None:
+            self._is_authorized, workspace = True, ""
+        else:
+            route = catalog.routes.get(self.database)
+            owner = catalog.workspaces.find_owner(self._key)
+            is_open = route is not None and not route.requires_key
+            self._is_authorized = owner is not None or is_open
+            workspace = owner or ""
+        if workspace != self._session_state.workspace:
+            # The connection of an open transaction belongs to the former workspace.
+            self._has_changed_workspace = self._transaction is not None
+        self._session_state.workspace = workspace
+
+    async def _deny(self) -> None:
+        """Roll back and refuse, as the caller's key has lost its right.
+
+        Raises
+        ------
+        CommandFailed
+            Always.
+        """
+        await self._roll_back_transaction()
+        self._failed = False
+        raise CommandFailed(FailureKind.DENIED, "the key is not known any more")
+
     def _find_route(self) -> Route:
         route = self._serving.find_route(self.database)
         if route is None:
--- a/src/burdocksail/serving/_statements.py
+++ b/src/burdocksail/serving/_statements.py
@@ -70,7 +70,9 @@
     request.attempts += 1
     request.tried_ids.add(pool.upstream.id)
     try:
-        connection = await pool.acquire(request.order, compute_acquire_timeout(request))
+        connection = await pool.acquire(
+            request.order, compute_acquire_timeout(request), request.session.workspace
+        )
     except NoConnection as error:
         record_connection_failure(request, pool, error)
         return None
@@ -157,7 +159,7 @@
     request.attempts += 1
     wait = request.retry_deadline - board.now()
     try:
-        connection = await pool.acquire(request.order, wait)
+        connection = await pool.acquire(request.order, wait, request.session.workspace)
     except NoConnection as error:
         record_connection_failure(request, pool, error)
         return None
--- a/src/burdocksail/serving/_transactions.py
+++ b/src/burdocksail/serving/_transactions.py
@@ -186,7 +186,9 @@
             else request.retry_deadline - board.now()
         )
         try:
-            connection = await pool.acquire(request.order, wait)
+            connection = await pool.acquire(
+                request.order, wait, self._session.workspace
+            )
         except NoConnection as error:
             record_connection_failure(request, pool, error)
             return None
--- a/src/burdocksail/serving/serving_test.py
+++ b/src/burdocksail/serving/serving_test.py
@@ -272,7 +272,7 @@
             session = fleet.session("instance-0", ReadPolicy.PRIMARY)
             await session.execute(Begin("b", read_only=False))
             await session.execute(Run("w", "WRITE", True))
-            await session.end_idle_transaction("idle for too long")
+            await session.end_transaction("idle for too long")
             reply = await session.execute(Run("w2", "WRITE", True))
             self.assertIs(reply.failure_kind, FailureKind.ABORTED)
             self.assertIs(reply.state, TransactionState.FAILED)
