--- a/src/burdocksail/fakes/_fleet.py
+++ b/src/burdocksail/fakes/_fleet.py
@@ -214,9 +214,9 @@
         leading = [i for i in self.instances.values() if i.describe()["leading"]]
         return max(leading, key=lambda i: i.board.authority.epoch, default=None)
 
-    def session(self, name: str, policy: ReadPolicy) -> CallerSession:
+    def session(self, name: str, policy: ReadPolicy, key: str = "") -> CallerSession:
         """Open a session at an instance, on the route of a read policy."""
-        return CallerSession(self.instances[name].serving, policy.value)
+        return CallerSession(self.instances[name].serving, policy.value, key)
 
     async def wait_until_ready(self, timeout: float = 20.0) -> None:
         """Wait until every instance is ready and its lease lets it use the primary.
--- a/src/burdocksail/fakes/_servers.py
+++ b/src/burdocksail/fakes/_servers.py
@@ -148,9 +148,12 @@
         Service and fencing token of each order to promote.
     lose_promotion_answers : bool
         Whether orders to promote are carried out but not confirmed.
+    workspaces : dict of str to str
+        Workspace of the connection on which a statement ran last, by request id.
     """
 
     def __init__(self) -> None:
+        self.workspaces: dict[str, str] = {}
         self.servers: dict[str, MemoryServer] = {}
         self.reads: dict[str, ReadRecord] = {}
         self.promotions: list[tuple[float, str, str, int]] = []
@@ -260,10 +263,17 @@
 class MemoryConnection:
     """Connection of an instance to a server, with its session state."""
 
-    def __init__(self, database: MemoryDatabase, server: MemoryServer, instance: str):
+    def __init__(
+        self,
+        database: MemoryDatabase,
+        server: MemoryServer,
+        instance: str,
+        workspace: str = "",
+    ):
         self._database = database
         self._server = server
         self.instance = instance
+        self.workspace = workspace
         self._open = True
         self._state = TransactionState.IDLE
         self._read_only = False
@@ -396,6 +406,7 @@
         return self._reply(ReplyStatus.DONE, "signature")
 
     def _run_statement(self, command: Run | ExecutePrepared) -> Reply:
+        self._database.workspaces[command.request_id] = self.workspace
         if isinstance(command, Run):
             writes = command.writes
         elif command.name not in self.prepared:
@@ -465,10 +476,12 @@
                 server.capacity.rejected += 1
             raise TooManyConnections(upstream.id)
         if server.capacity is not None:
-            connection = MemoryConnection(self._database, server, self._instance)
+            connection = MemoryConnection(
+                self._database, server, self._instance, workspace
+            )
             await server.capacity.open_connection()
             return connection
-        return MemoryConnection(self._database, server, self._instance)
+        return MemoryConnection(self._database, server, self._instance, workspace)
 
 
 class MemoryPromoter:
