--- a/src/burdocksail/serving/_budget.py
+++ b/src/burdocksail/serving/_budget.py
@@ -21,6 +21,9 @@
 # A full server has to leave room for instances that hold less than their share.
 RETAINED_SHARE_WHEN_FULL = 0.8
 SURPLUS_IDLE_TIMEOUT = 3.0  # seconds, for idle connections beyond that share
+# With less than two connections for each instance, half of the share is none, and
+# idle connections would fill the server unless they are closed soon.
+SMALL_SHARE_IDLE_TIMEOUT = 0.25  # seconds
 # With fewer connections than instances, the instances have to take turns.
 SCARCE_IDLE_TIMEOUT = 0.15  # seconds
 # The instances in a server's region send it most of their reads, so each of them
@@ -67,11 +70,12 @@
     share = usable / board.members.count()
     capacity = int(max(MIN_CONNECTIONS, share) * OVERCOMMIT_FACTOR)
     if share >= 1.0:
-        retained = max(1.0, share * RETAINED_SHARE)
+        retained = share * RETAINED_SHARE
         retained_when_full = max(1.0, share * RETAINED_SHARE_WHEN_FULL)
-        return ConnectionBudget(
-            capacity, retained, SURPLUS_IDLE_TIMEOUT, retained_when_full
+        idle_timeout = (
+            SURPLUS_IDLE_TIMEOUT if retained >= 1.0 else SMALL_SHARE_IDLE_TIMEOUT
         )
+        return ConnectionBudget(capacity, retained, idle_timeout, retained_when_full)
     if not _may_region_retain(board, upstream, usable):
         return ConnectionBudget(capacity, 0.0, SCARCE_IDLE_TIMEOUT)
     if upstream.id in board.authority.primaries():
--- a/src/burdocksail/serving/budget_test.py
+++ b/src/burdocksail/serving/budget_test.py
@@ -64,6 +64,17 @@
         share = (21 - RESERVED_CONNECTIONS) / 6
         self.assertEqual(budget.retained, share * RETAINED_SHARE)
 
+    def test_fleet_leaves_half_of_the_connections_to_its_own_restart(self):
+        """Retaining one each, 32 instances filled two thirds of 51 connections."""
+        for instances, connections in ((32, 51), (6, 21), (9, 60), (83, 195)):
+            with self.subTest(instances=instances):
+                budget = compute_budget(
+                    make_board(instances, connections, "domain-1"),
+                    make_upstream("domain-0"),
+                )
+                usable = connections - RESERVED_CONNECTIONS
+                self.assertLessEqual(instances * budget.retained, usable / 2 + 1e-9)
+
     def test_instances_in_the_servers_region_retain_one(self):
         near = compute_budget(make_board(87, 53, "domain-3"), make_upstream("domain-0"))
         far = compute_budget(make_board(87, 53, "domain-1"), make_upstream("domain-0"))
--- a/src/burdocksail/traffic/replays_test.py
+++ b/src/burdocksail/traffic/replays_test.py
@@ -14,7 +14,7 @@
 
 from burdocksail.experiments import Summary, merge_summaries, play, read_pattern
 from burdocksail.fakes import _servers, silence_logs
-from burdocksail.serving import _context, _requests, _routing
+from burdocksail.serving import _budget, _context, _requests, _routing
 from burdocksail.traffic import (
     ConcurrencyLimit,
     LagEstimate,
@@ -65,6 +65,19 @@
         self.assertLess(decided.rejected_share, 0.6 * naive.rejected_share)
         self.assertGreaterEqual(decided.total.in_target, naive.total.in_target)
 
+    def test_restarted_fleet_finds_room_with_few_connections_an_instance(self):
+        """Idle connections of lost instances would fill the servers for seconds."""
+        decided = replay("recovery-crest-small-share")
+        naive = replay_naively(
+            "recovery-crest-small-share",
+            [
+                mock.patch.object(
+                    _budget, "SMALL_SHARE_IDLE_TIMEOUT", _budget.SURPLUS_IDLE_TIMEOUT
+                )
+            ],
+        )
+        self.assertGreater(decided.total.in_target, naive.total.in_target + 0.1)
+
     def test_burst_of_patient_requests_does_not_delay_urgent_ones(self):
         """In order of arrival, all classes would wait behind the burst."""
         decided = replay("burst")
