Lease tokens for the quotas of workspaces from the fleet's leader

Rate and burst of a workspace apply to all instances together, and no instance sees the operations at the others. The leader keeps a bucket for each workspace, instances lease tokens in batches, and one that hears no leader has a minimum rate. Inactive without quota_window_s.

--- a/src/burdocksail/agent/_instance.py
+++ b/src/burdocksail/agent/_instance.py
@@ -21,7 +21,12 @@
     StoreTracker,
 )
 from burdocksail.ports import Connector, ObjectDecoder, ObjectStore, Promoter
-from burdocksail.serving import ConnectionPools, PrimaryProber, ServingContext
+from burdocksail.serving import (
+    AllowanceHolder,
+    ConnectionPools,
+    PrimaryProber,
+    ServingContext,
+)
 
 FLUSH_INTERVAL = 0.2  # seconds between flushes of the log buffer
 # Seconds until a load balancer that probes each second sends no more callers.
@@ -84,7 +89,15 @@
         self.sessions = SessionRegistry()
         self._log_buffer = log_buffer
         self._pools = ConnectionPools(board, connector)
-        self.serving = ServingContext(board, self._pools)
+        self.serving = ServingContext(
+            board,
+            self._pools,
+            AllowanceHolder(
+                board,
+                lambda address, message: self._peers.send(address, message),
+                lambda request: self._authority.issue_allowances(request),
+            ),
+        )
         self._peers = make_peers(
             lambda message, address: self._authority.handle_message(message, address),
             lambda: self._snapshots.take(),
@@ -99,7 +112,13 @@
         )
         self._snapshots = SnapshotExchange(board, self._peers, self._tracker)
         self._authority = AuthorityController(
-            board, store, self._peers, connector, promoter, self._snapshots
+            board,
+            store,
+            self._peers,
+            connector,
+            promoter,
+            self._snapshots,
+            self.serving.allowances.handle_grant,
         )
         self._registration = Registration(board, store)
         self._prober = PrimaryProber(board, self._pools)
@@ -146,6 +165,8 @@
             self._flush_logs(),
         ):
             self._spawn(coroutine)
+        if self.board.quotas.bounds is not None:
+            self._spawn(self.serving.allowances.run())
 
     @property
     def admits_sessions(self) -> bool:
@@ -253,6 +274,8 @@
             "sessions": len(self.sessions),
             "open_transactions": self.serving.open_transactions,
             "instances_alive": board.members.alive_count,
+            "allowances": self.serving.allowances.describe(),
+            "allowances_issued": self._authority.describe_allowances(),
             "upstreams": self._pools.describe(),
         }
 
--- a/src/burdocksail/authority/_controller.py
+++ b/src/burdocksail/authority/_controller.py
@@ -5,6 +5,8 @@
 """
 
 import asyncio
+from collections.abc import Callable
+from typing import Any
 
 import structlog
 
@@ -16,6 +18,8 @@
 from burdocksail.board import Blackboard
 from burdocksail.fleet import (
     Address,
+    AllowanceGrant,
+    AllowanceRequest,
     Farewell,
     Grant,
     LeaderQuery,
@@ -38,7 +42,13 @@
 
 
 class AuthorityController:
-    """Follows the leader, and leads while this instance holds the leadership."""
+    """Follows the leader, and leads while this instance holds the leadership.
+
+    Parameters
+    ----------
+    receive_allowances : callable
+        Called with each grant of tokens for the quotas of workspaces.
+    """
 
     def __init__(
         self,
@@ -48,6 +58,7 @@
         connector: Connector,
         promoter: Promoter,
         snapshots: SnapshotExchange,
+        receive_allowances: Callable[[AllowanceGrant], None],
     ):
         self._board = board
         self._store = store
@@ -69,6 +80,8 @@
             LeaderReport: lambda m, _: self._claimant.handle_report(m),
             TakeOver: self._handle_take_over,
             Farewell: self._handle_farewell,
+            AllowanceRequest: self._handle_allowance_request,
+            AllowanceGrant: lambda m, _: receive_allowances(m),
         }
         self._log = structlog.get_logger()
 
@@ -76,6 +89,16 @@
         """Return whether this instance leads, as far as it knows."""
         return self._leadership is not None and not self._leadership.ended
 
+    def issue_allowances(self, request: AllowanceRequest) -> AllowanceGrant | None:
+        """Return the tokens for a request; None while this instance does not lead."""
+        return (
+            self._leadership.allowances.answer(request) if self.is_leading() else None
+        )
+
+    def describe_allowances(self) -> dict[str, Any] | None:
+        """Return the state of the buckets, None while this instance does not lead."""
+        return self._leadership.allowances.describe() if self.is_leading() else None
+
     def _get_leadership(self) -> Leadership | None:
         return self._leadership if self.is_leading() else None
 
@@ -183,6 +206,17 @@
         answer = NotLeader(self._board.member, authority.epoch, leader)
         self._peers.send(address, answer)
 
+    def _handle_allowance_request(
+        self, request: AllowanceRequest, address: Address
+    ) -> None:
+        grant = self.issue_allowances(request)
+        if grant is not None:
+            self._peers.send(address, grant)
+        elif not self.is_leading():
+            authority = self._board.authority
+            answer = NotLeader(self._board.member, authority.epoch, authority.leader)
+            self._peers.send(address, answer)
+
     def _handle_take_over(self, message: TakeOver, address: Address) -> None:
         authority = self._board.authority
         if message.epoch >= authority.epoch and not self._board.stop.requested:
--- a/src/burdocksail/authority/_follower.py
+++ b/src/burdocksail/authority/_follower.py
@@ -107,6 +107,7 @@
             )
             return
         self.adopt_leader(grant.epoch, grant.leader)
+        self._record_sign(grant)
         if grant.groups is None and authority.generation < grant.generation:
             return  # It answers an earlier incarnation at this address.
         now = board.now()
@@ -152,6 +153,7 @@
         authority = self._board.authority
         if epoch <= authority.epoch:
             return
+        self._board.quotas.change_leader()
         authority.epoch = epoch
         authority.leader = leader
         authority.generation = 0
@@ -233,8 +235,19 @@
         for address in sorted(board.members.addresses() - {board.member.address}):
             self._peers.send(address, Farewell(board.member))
 
+    def _record_sign(self, grant: Grant) -> None:
+        """Record what counts for the quotas: a sign of the leader, or an answer."""
+        quotas = self._board.quotas
+        if grant.leader_time is None or quotas.bounds is None:
+            return
+        now = self._board.now()
+        quotas.record_sign(now, grant.leader_time)
+        if self._started_at <= grant.echo <= now:
+            quotas.record_answer(now, grant.registered)
+
     def _make_renewal(self) -> Renew:
         board = self._board
+        former_heard_at = board.quotas.former_heard_at
         authority = board.authority
         catalog = board.catalog.catalog
         timeline = board.latest_timeline
@@ -253,6 +266,10 @@
             reached=find_reached_services(board),
             leaving=board.stop.requested,
             store_timeline=timeline,
+            leader_time=board.quotas.leader_time,
+            former_silence=(
+                None if former_heard_at is None else board.now() - former_heard_at
+            ),
         )
 
     def _merge_samples(self, grant: Grant) -> None:
--- a/src/burdocksail/authority/_grantees.py
+++ b/src/burdocksail/authority/_grantees.py
@@ -122,6 +122,12 @@
         }
         return {**self.unsettled, **unexpired}
 
+    def are_earlier_stopped(self, now: float) -> bool:
+        """Return whether all earlier leaders are known to have stopped granting."""
+        if self.unsettled or self.restored_at is not None:
+            return False
+        return all(settled.stops_at <= now for settled in self.settled.values())
+
     def has_majority(self, members: frozenset[Member], now: float) -> bool:
         """Return whether a majority of `members` renews with this leader."""
         return 2 * sum(self._follows(m, now) for m in members) > len(members)
--- a/src/burdocksail/authority/_leadership.py
+++ b/src/burdocksail/authority/_leadership.py
@@ -9,6 +9,7 @@
 
 import structlog
 
+from burdocksail.authority._allowances import AllowanceIssuer
 from burdocksail.authority._follower import Follower
 from burdocksail.authority._grantees import Grantees
 from burdocksail.authority._limits import (
@@ -81,6 +82,8 @@
     inherited_changes : frozenset of str
         Services whose change was unfinished when this leadership began, so that a
         promotion order of an earlier leader may be in flight.
+    allowances : AllowanceIssuer
+        Tokens for the quotas of workspaces.
     unproven_groups : frozenset of str
         Services whose recorded primary may be the present one or may have been
         replaced without a trace, as the store was restored; they are among the
@@ -123,6 +126,9 @@
             restored_at=board.store.timeline_since if record.restored else None,
         )
         self.grantees.settle(board.now())
+        self.allowances = AllowanceIssuer(
+            board, self.epoch, lambda: self.grantees.are_earlier_stopped(board.now())
+        )
         # Holds more than one set while a write of the record is unconfirmed; a
         # majority of each is needed.
         self._member_sets = {frozenset(record.members)}
@@ -204,6 +210,7 @@
         """
         now = self._board.now()
         grantee = self.grantees.record_renewal(renewal, now)
+        self.allowances.record_renewal(renewal)
         is_known = renewal.member.address in self._peer_addresses()
         extends_lease = (
             self.holds_leader_lease and is_known and renewal.epoch <= self.epoch
@@ -237,6 +244,10 @@
         board.authority.is_monitor = True
         board.members.alive_count = 1 + len(self.grantees.find_live(board.now()))
         board.members.registered_count = len(board.members.registered)
+        if board.quotas.bounds is not None:
+            now = board.now()
+            board.quotas.record_sign(now, now)
+            board.quotas.record_answer(now, len(board.members.registered))
 
     @property
     def is_restored(self) -> bool:
@@ -594,4 +605,5 @@
             registered=len(board.members.registered),
             monitor=False,
             store_timeline=timeline,
+            leader_time=None if board.quotas.bounds is None else now,
         )
--- a/src/burdocksail/board/__init__.py
+++ b/src/burdocksail/board/__init__.py
@@ -23,6 +23,7 @@
     UnconfirmedEntry,
 )
 from burdocksail.board._metrics import Metrics
+from burdocksail.board._quotas import QuotaBounds, QuotaSection
 from burdocksail.board._signal import Signal
 
 __all__ = [
@@ -38,6 +39,8 @@
     "Member",
     "MembersSection",
     "Metrics",
+    "QuotaBounds",
+    "QuotaSection",
     "Sample",
     "SamplesSection",
     "Signal",
--- a/src/burdocksail/fleet/__init__.py
+++ b/src/burdocksail/fleet/__init__.py
@@ -10,6 +10,10 @@
     is_sendable,
 )
 from burdocksail.fleet._messages import (
+    Allowance,
+    AllowanceDemand,
+    AllowanceGrant,
+    AllowanceRequest,
     Farewell,
     Grant,
     LeaderQuery,
@@ -38,6 +42,10 @@
 )
 
 __all__ = [
+    "Allowance",
+    "AllowanceDemand",
+    "AllowanceGrant",
+    "AllowanceRequest",
     "AUTHORITY_NAME",
     "CHALLENGE_PREFIX",
     "Address",
--- a/src/burdocksail/fleet/_messages.py
+++ b/src/burdocksail/fleet/_messages.py
@@ -54,6 +54,11 @@
     store_timeline : int
         Latest timeline of the store that the sender knows of; `directory_revision`
         belongs to it.
+    leader_time : float or None
+        Latest `Grant.leader_time` of the epoch that the sender follows.
+    former_silence : float or None
+        Seconds since the sender last heard a leader of an earlier epoch; None if it
+        has heard none.
     """
 
     member: Member
@@ -68,6 +73,8 @@
     reached: tuple[str, ...]
     leaving: bool
     store_timeline: int = 0
+    leader_time: float | None = None
+    former_silence: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -93,6 +100,8 @@
         primaries.
     store_timeline : int
         As in `Renew`.
+    leader_time : float or None
+        Reading of the leader's clock; the next renewal returns it.
     """
 
     leader: Member
@@ -109,6 +118,7 @@
     registered: int
     monitor: bool
     store_timeline: int = 0
+    leader_time: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -168,4 +178,89 @@
     member: Member
 
 
-Message = Renew | Grant | NotLeader | LeaderQuery | LeaderReport | TakeOver | Farewell
+@dataclass(frozen=True, slots=True)
+class AllowanceDemand:
+    """What an instance wants for a workspace, and what it returns.
+
+    Attributes
+    ----------
+    wanted : int
+        Tokens that are wanted now.
+    rate : float
+        Operations per second that arrive at the sender.
+    returned : int
+        Tokens that the sender no longer uses.
+    returned_slot : int
+        `AllowanceGrant.slot` of the grant that held them.
+    """
+
+    workspace: str
+    wanted: int
+    rate: float
+    returned: int
+    returned_slot: int
+
+
+@dataclass(frozen=True, slots=True)
+class AllowanceRequest:
+    """Request to the leader for tokens of the quotas of workspaces.
+
+    Attributes
+    ----------
+    epoch : int
+        Epoch that the sender follows; the leader of another one does not answer.
+    number : int
+        Differs in all requests of a run of the sender, except that a request that is
+        sent again keeps it; the grant repeats it.
+    """
+
+    member: Member
+    epoch: int
+    number: int
+    demands: tuple[AllowanceDemand, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Allowance:
+    """Tokens granted to an instance for a workspace.
+
+    Attributes
+    ----------
+    wait : float
+        If fewer were granted than wanted, the seconds until the leader expects to
+        have more for this instance.
+    """
+
+    workspace: str
+    granted: int
+    wait: float
+
+
+@dataclass(frozen=True, slots=True)
+class AllowanceGrant:
+    """Answer to `AllowanceRequest`.
+
+    Attributes
+    ----------
+    slot : int
+        When the tokens were granted, by a count of the leader.
+    """
+
+    leader: Member
+    epoch: int
+    number: int
+    slot: int
+    allowances: tuple[Allowance, ...]
+
+
+Message = (
+    Renew
+    | Grant
+    | NotLeader
+    | LeaderQuery
+    | LeaderReport
+    | TakeOver
+    | Farewell
+    | AllowanceRequest
+    | AllowanceGrant
+)
--- a/src/burdocksail/fleet/fleet.thrift
+++ b/src/burdocksail/fleet/fleet.thrift
@@ -18,14 +18,15 @@
   1: Member member, 2: double sent_at, 3: i64 epoch, 4: i64 generation,
   5: i64 catalog_version, 6: i64 directory_revision, 7: bool store_works,
   8: list<string> busy, 9: list<string> unreachable, 10: list<string> reached, 11: bool leaving,
-  12: i64 store_timeline = 0
+  12: i64 store_timeline = 0, 13: optional double leader_time,
+  14: optional double former_silence
 }
 struct Grant {
   1: Member leader, 2: i64 epoch, 3: i64 generation, 4: double echo,
   5: bool extends_evidence, 6: optional list<GroupView> groups, 7: i64 alive,
   8: i64 catalog_version, 9: i64 directory_revision, 10: bool store_works,
   11: list<SharedSample> samples, 12: i64 registered, 13: bool monitor,
-  14: i64 store_timeline = 0
+  14: i64 store_timeline = 0, 15: optional double leader_time
 }
 struct NotLeader { 1: Member member, 2: i64 epoch, 3: optional Member leader }
 struct LeaderQuery { 1: Member member, 2: i64 epoch }
@@ -33,11 +34,25 @@
 struct TakeOver { 1: Member member, 2: i64 epoch }
 struct Farewell { 1: Member member }
 
+struct AllowanceDemand {
+  1: string workspace, 2: i64 wanted, 3: double rate, 4: i64 returned,
+  5: i64 returned_slot
+}
+struct AllowanceRequest {
+  1: Member member, 2: i64 epoch, 3: i64 number, 4: list<AllowanceDemand> demands
+}
+struct Allowance { 1: string workspace, 2: i64 granted, 3: double wait }
+struct AllowanceGrant {
+  1: Member leader, 2: i64 epoch, 3: i64 number, 4: i64 slot,
+  5: list<Allowance> allowances
+}
+
 struct Envelope {
   1: optional Renew Renew, 2: optional Grant Grant,
   3: optional NotLeader NotLeader, 4: optional LeaderQuery LeaderQuery,
   5: optional LeaderReport LeaderReport, 6: optional TakeOver TakeOver,
-  7: optional Farewell Farewell
+  7: optional Farewell Farewell, 8: optional AllowanceRequest AllowanceRequest,
+  9: optional AllowanceGrant AllowanceGrant
 }
 
 // A snapshot of what an instance knows of the store, for one that cannot reach the
--- a/src/burdocksail/serving/_context.py
+++ b/src/burdocksail/serving/_context.py
@@ -5,6 +5,7 @@
 
 from burdocksail.board import Blackboard
 from burdocksail.catalog import Route
+from burdocksail.serving._allowances import AllowanceHolder
 from burdocksail.serving._decisions import DecisionLog
 from burdocksail.serving._freshness import SessionCommits
 from burdocksail.serving._pools import ConnectionPools
@@ -46,6 +47,8 @@
 
     Attributes
     ----------
+    allowances : AllowanceHolder
+        Tokens for the quotas of workspaces.
     open_transactions : int
         Transactions that hold an upstream connection.
     retry_budget : RetryBudget
@@ -54,9 +57,15 @@
         Spreads retries of this instance and returns of its callers.
     """
 
-    def __init__(self, board: Blackboard, pools: ConnectionPools):
+    def __init__(
+        self,
+        board: Blackboard,
+        pools: ConnectionPools,
+        allowances: AllowanceHolder | None = None,
+    ):
         self.board = board
         self.pools = pools
+        self.allowances = allowances or AllowanceHolder(board)
         self.decisions = DecisionLog(board)
         self.open_transactions = 0
         self.retry_budget = RetryBudget()
--- a/src/burdocksail/serving/_requests.py
+++ b/src/burdocksail/serving/_requests.py
@@ -7,6 +7,7 @@
 from burdocksail.catalog import Route
 from burdocksail.core import Commit, ExecutePrepared, FailureKind, Run
 from burdocksail.ports import Reply, ReplyStatus
+from burdocksail.serving._allowances import OperationAllowance
 from burdocksail.serving._context import ServingContext, SessionState
 from burdocksail.serving._freshness import Floor
 from burdocksail.serving._pools import NoConnection, Pool
@@ -47,6 +48,8 @@
     floor : Floor or None
         Floor of the last attempt of a read outside of a transaction; None if the
         primary ran it because the floor was unknown.
+    allowance : OperationAllowance
+        Token of the operation under its workspace's quota.
     tried_ids : set of str
         Upstreams that a read has tried since it last ran out of servers.
     """
@@ -63,9 +66,14 @@
     expected_wait: float = 0.0
     floor: Floor | None = None
     tried_ids: set[str] = field(default_factory=set)
+    allowance: OperationAllowance = field(init=False)
 
     def __post_init__(self) -> None:
-        self.arrived_at = self.serving.board.now()
+        serving = self.serving
+        self.arrived_at = serving.board.now()
+        self.allowance = OperationAllowance(
+            serving.allowances, serving.board, self.session.workspace
+        )
         self.serving.retry_budget.record_request()
 
     @property
@@ -109,6 +117,15 @@
     return CommandFailed(FailureKind.BUSY, reason, retry_after)
 
 
+def may_send(request: StatementRequest) -> bool:
+    """Return whether a token is left for the attempt; record why it fails if not."""
+    if request.allowance.spend():
+        return True
+    request.last_error = "the rate of the workspace is used up"
+    request.obstacle, request.expected_wait = Obstacle.OVERLOAD, 0.0
+    return False
+
+
 def record_connection_failure(
     request: StatementRequest, pool: Pool, error: NoConnection
 ) -> None:
--- a/src/burdocksail/serving/_statements.py
+++ b/src/burdocksail/serving/_statements.py
@@ -19,6 +19,7 @@
     StatementRequest,
     back_off,
     describe_floor,
+    may_send,
     record_commit,
     record_connection_failure,
     record_coverage,
@@ -40,12 +41,16 @@
         If it is malformed, did not succeed in time, or was run and failed in an
         attempt after the first.
     """
-    while True:
-        pool = await choose_server(request)
-        reply = await _attempt_read(request, pool)
-        if reply is not None:
-            return reply
-        await back_off(request)
+    try:
+        while True:
+            await request.allowance.reserve()
+            pool = await choose_server(request)
+            reply = await _attempt_read(request, pool)
+            if reply is not None:
+                return reply
+            await back_off(request)
+    finally:
+        request.allowance.release()
 
 
 async def run_at_primary(request: StatementRequest, writes: bool = True) -> Reply:
@@ -56,12 +61,16 @@
     CommandFailed
         If it is malformed, was not run in time, failed, or has an unknown outcome.
     """
-    while True:
-        view, pool = await wait_for_primary(request)
-        reply = await _attempt_at_primary(request, view, pool, writes)
-        if reply is not None:
-            return reply
-        await back_off(request)
+    try:
+        while True:
+            await request.allowance.reserve()
+            view, pool = await wait_for_primary(request)
+            reply = await _attempt_at_primary(request, view, pool, writes)
+            if reply is not None:
+                return reply
+            await back_off(request)
+    finally:
+        request.allowance.release()
 
 
 async def _attempt_read(request: StatementRequest, pool: Pool) -> Reply | None:
@@ -83,7 +92,7 @@
     )
     view = board.get_view_for_new_work(request.route.service)
     is_primary = view is not None and view.primary_id == pool.upstream.id
-    if floor is None and not is_primary:
+    if (floor is None and not is_primary) or not may_send(request):
         pool.release(connection)
         return None
     timeout = _compute_read_timeout(request)
@@ -101,6 +110,7 @@
             None if floor is None else floor.position,
         )
     except UpstreamLost as error:
+        request.allowance.use_up()
         record_failed_attempt(request, pool, "server lost", str(error), AVOID_BROKEN)
         if request.time_left <= MIN_TIMEOUT:
             raise CommandFailed(FailureKind.TIMEOUT, "no answer in time") from error
@@ -137,7 +147,7 @@
             took_ms=round((request.board.now() - request.arrived_at) * 1000, 1),
         )
         return reply
-    record_failed_attempt(request, pool, reply.status.value, reply.message, AVOID_BUSY)
+    _record_refusal(request, pool, reply)
     if reply.status is ReplyStatus.MALFORMED:
         raise CommandFailed(FailureKind.MALFORMED, reply.message)
     if reply.status is ReplyStatus.TIMEOUT or request.time_left <= MIN_TIMEOUT:
@@ -147,6 +157,13 @@
     return None
 
 
+def _record_refusal(request: StatementRequest, pool: Pool, reply: Reply) -> None:
+    """Record that a server answered an attempt without success."""
+    if reply.may_have_run:
+        request.allowance.use_up()
+    record_failed_attempt(request, pool, reply.status.value, reply.message, AVOID_BUSY)
+
+
 async def _attempt_at_primary(
     request: StatementRequest, view: GroupView, pool: Pool, writes: bool
 ) -> Reply | None:
@@ -163,7 +180,7 @@
     except NoConnection as error:
         record_connection_failure(request, pool, error)
         return None
-    if board.get_view_for_new_work(service) != view:
+    if board.get_view_for_new_work(service) != view or not may_send(request):
         pool.release(connection)
         return None
     in_flight = board.authority.in_flight
@@ -180,6 +197,7 @@
             max(MIN_TIMEOUT, request.time_left),
         )
     except UpstreamLost as error:
+        request.allowance.use_up()
         board.authority.suspected.add(service)
         record_failed_attempt(request, pool, "server lost", str(error), AVOID_BROKEN)
         if writes:
@@ -216,7 +234,7 @@
             took_ms=round((board.now() - request.arrived_at) * 1000, 1),
         )
         return reply
-    record_failed_attempt(request, pool, reply.status.value, reply.message, AVOID_BUSY)
+    _record_refusal(request, pool, reply)
     if reply.status is ReplyStatus.MALFORMED:
         raise CommandFailed(FailureKind.MALFORMED, reply.message)
     if reply.status is ReplyStatus.TIMEOUT:
--- a/src/burdocksail/serving/_transactions.py
+++ b/src/burdocksail/serving/_transactions.py
@@ -35,6 +35,7 @@
     MIN_TIMEOUT,
     StatementRequest,
     back_off,
+    may_send,
     record_commit,
     record_connection_failure,
     record_coverage,
@@ -164,15 +165,19 @@
         """
         request = StatementRequest(self._serving, self._route, self._session, command)
         request.arrived_at = self._board.now()
-        while True:
-            if self._read_only and self._route.policy is not ReadPolicy.PRIMARY:
-                view, pool = None, await choose_server(request)
-            else:
-                view, pool = await wait_for_primary(request)
-            binding = await self._attempt_begin(request, view, pool)
-            if binding is not None:
-                return binding
-            await back_off(request)
+        try:
+            while True:
+                await request.allowance.reserve()
+                if self._read_only and self._route.policy is not ReadPolicy.PRIMARY:
+                    view, pool = None, await choose_server(request)
+                else:
+                    view, pool = await wait_for_primary(request)
+                binding = await self._attempt_begin(request, view, pool)
+                if binding is not None:
+                    return binding
+                await back_off(request)
+        finally:
+            request.allowance.release()
 
     async def _attempt_begin(
         self, request: StatementRequest, view: GroupView | None, pool: Pool
@@ -193,7 +198,7 @@
             record_connection_failure(request, pool, error)
             return None
         floor, allowed = self._check_may_begin(view, pool)
-        if not allowed:
+        if not allowed or not may_send(request):
             pool.release(connection)
             return None
         binding = Binding(view, pool, connection)
@@ -212,6 +217,7 @@
                 None if floor is None else floor.position,
             )
         except UpstreamLost as error:
+            request.allowance.use_up()
             self._unbind()
             pool.discard(connection)
             record_failed_attempt(
--- a/src/burdocksail/traffic/__init__.py
+++ b/src/burdocksail/traffic/__init__.py
@@ -5,6 +5,22 @@
 decisions and acts on them.
 """
 
+from burdocksail.traffic._allowance_stock import (
+    FLOOR_DELAY,
+    USABLE_TIME,
+    AllowanceStock,
+    Batch,
+    find_floor_start,
+)
+from burdocksail.traffic._allowances import (
+    TOKEN_LIFETIME,
+    AllowanceBucket,
+    AllowanceLedger,
+    AllowanceLimit,
+    HeardTime,
+    compute_limit,
+    find_slot,
+)
 from burdocksail.traffic._backoff import RetryBudget, compute_backoff
 from burdocksail.traffic._concurrency import ConcurrencyLimit
 from burdocksail.traffic._ejection import ServerHealth, find_ejected
@@ -15,8 +31,17 @@
 from burdocksail.traffic._waiting import DrainRate, compute_order
 
 __all__ = [
+    "FLOOR_DELAY",
+    "TOKEN_LIFETIME",
+    "USABLE_TIME",
+    "AllowanceBucket",
+    "AllowanceLedger",
+    "AllowanceLimit",
+    "AllowanceStock",
+    "Batch",
     "ConcurrencyLimit",
     "DrainRate",
+    "HeardTime",
     "LagEstimate",
     "Obstacle",
     "OpeningWindow",
@@ -24,8 +49,11 @@
     "ServerHealth",
     "ServerLoad",
     "compute_backoff",
+    "compute_limit",
     "compute_order",
     "compute_retry_after",
     "find_ejected",
+    "find_floor_start",
+    "find_slot",
     "rank_by_cost",
 ]
