--- a/src/burdocksail/authority/_allowances.py
+++ b/src/burdocksail/authority/_allowances.py
@@ -172,7 +172,12 @@
         rate = self._limits[workspace.name].rate * self._heard_time.share
         is_usual = 0.0 <= demand.rate <= MAX_DEMAND
         granted, wait = ledger.grant(
-            instance, demand.wanted, demand.rate if is_usual else 0.0, now, rate
+            instance,
+            demand.wanted,
+            demand.urgent,
+            demand.rate if is_usual else 0.0,
+            now,
+            rate,
         )
         return Allowance(workspace.name, granted, wait)
 
--- a/src/burdocksail/fakes/__init__.py
+++ b/src/burdocksail/fakes/__init__.py
@@ -6,6 +6,13 @@
 
 from burdocksail.fakes._capacity import ServerCapacity
 from burdocksail.fakes._fleet import DOMAINS, SERVICE, Fleet, make_catalog
+from burdocksail.fakes._quota_world import (
+    BOUNDS,
+    LossyNetwork,
+    QuotaInstance,
+    QuotaWorld,
+    WorkspaceRecord,
+)
 from burdocksail.fakes._scenarios import run_scenario, time_until_written, write
 from burdocksail.fakes._servers import MemoryConnector, MemoryDatabase, MemoryServer
 from burdocksail.fakes._store import MemoryStore, MemoryStoreClient
@@ -17,17 +24,22 @@
 )
 
 __all__ = [
+    "BOUNDS",
     "DOMAINS",
     "SERVICE",
     "Fleet",
     "LoopClock",
+    "LossyNetwork",
     "MemoryConnector",
     "MemoryDatabase",
     "MemoryServer",
     "MemoryStore",
     "MemoryStoreClient",
+    "QuotaInstance",
+    "QuotaWorld",
     "ServerCapacity",
     "VirtualLoop",
+    "WorkspaceRecord",
     "make_catalog",
     "run_in_virtual_time",
     "run_scenario",
--- a/src/burdocksail/fleet/_messages.py
+++ b/src/burdocksail/fleet/_messages.py
@@ -186,6 +186,8 @@
     ----------
     wanted : int
         Tokens that are wanted now.
+    urgent : int
+        Those among them for which operations wait.
     rate : float
         Operations per second that arrive at the sender.
     returned : int
@@ -196,6 +198,7 @@
 
     workspace: str
     wanted: int
+    urgent: int
     rate: float
     returned: int
     returned_slot: int
--- a/src/burdocksail/fleet/fleet.thrift
+++ b/src/burdocksail/fleet/fleet.thrift
@@ -35,8 +35,8 @@
 struct Farewell { 1: Member member }
 
 struct AllowanceDemand {
-  1: string workspace, 2: i64 wanted, 3: double rate, 4: i64 returned,
-  5: i64 returned_slot
+  1: string workspace, 2: i64 wanted, 3: i64 urgent, 4: double rate,
+  5: i64 returned, 6: i64 returned_slot
 }
 struct AllowanceRequest {
   1: Member member, 2: i64 epoch, 3: i64 number, 4: list<AllowanceDemand> demands
--- a/src/burdocksail/serving/_allowances.py
+++ b/src/burdocksail/serving/_allowances.py
@@ -13,7 +13,6 @@
 from burdocksail.core import FailureKind
 from burdocksail.fleet import (
     Address,
-    Allowance,
     AllowanceDemand,
     AllowanceGrant,
     AllowanceRequest,
@@ -31,6 +30,10 @@
 
 RENEW_INTERVAL = 0.1  # seconds; a batch lasts for several of them
 RESEND_DELAY = 0.05  # seconds; longer than a round trip between regions
+# An operation waits for tokens that the leader expects within this time, as long as
+# the limit below allows it.
+MAX_GRANT_WAIT = 0.1  # seconds
+STOCK_PAUSE = 0.3  # seconds; see `AllowanceStock.stock_paused_until`
 ANSWER_TIMEOUT = 0.15  # seconds that an operation waits for tokens
 # A demand takes its workspace's name and some 35 bytes. With the other fields, a
 # datagram is then below 1,200 bytes.
@@ -210,7 +213,7 @@
             return Reservation(self, holding)
         if floor_start is not None:
             raise self._reject_at_floor(holding)
-        if now < stock.exhausted_until:
+        if stock.exhausted_until > now + MAX_GRANT_WAIT:
             raise self._reject(holding, "the rate of the workspace is used up")
         return await self._wait_for_grant(holding)
 
@@ -239,9 +242,11 @@
             batch = Batch(allowance.granted, usable_until, grant.epoch, grant.slot)
             holding.stock.add(batch)
             self._board.metrics.count("allowances_granted", allowance.granted)
-            if wanted[allowance.workspace]:
-                is_short = allowance.granted < wanted[allowance.workspace]
-                self._settle(holding, allowance, is_short, now)
+            if limit:
+                holding.asked_until = now
+                if allowance.granted < limit:
+                    holding.stock.stock_paused_until = now + STOCK_PAUSE
+                self._settle(holding, allowance.wait, now)
 
     def describe(self) -> dict[str, object]:
         """Return the state of the busiest workspaces, as shown in the state dump."""
@@ -339,20 +344,31 @@
             raise self._reject(holding, "the rate of the workspace is used up")
         return Reservation(self, holding)
 
-    def _settle(
-        self, holding: _Holding, allowance: Allowance, is_short: bool, now: float
-    ) -> None:
-        """Hand tokens to operations that wait; reject the others if there are few."""
+    def _settle(self, holding: _Holding, wait: float, now: float) -> None:
+        """Hand tokens to operations that wait, and reject the others if that is known.
+
+        Parameters
+        ----------
+        wait : float
+            Seconds until the leader expects to have more tokens.
+        """
         stock = holding.stock
-        holding.asked_until = now
-        if is_short:
-            stock.record_refusal(now, allowance.wait, holding.workspace.rate)
-        while holding.waiters and (is_short or stock.count(now) > stock.reserved):
+        while holding.waiters and stock.reserve(now):
             waiter = holding.waiters.popleft()
+            if waiter.done():
+                stock.release()
+            else:
+                waiter.set_result(True)
+        if not holding.waiters:
+            return
+        stock.record_refusal(now, wait, holding.workspace.rate)
+        if wait <= MAX_GRANT_WAIT:
+            asyncio.get_running_loop().call_later(wait, self._schedule_flush)
+            return
+        for waiter in holding.waiters:
             if not waiter.done():
-                waiter.set_result(stock.reserve(now))
-        if holding.waiters:
-            self._schedule_flush()
+                waiter.set_result(False)
+        holding.waiters.clear()
 
     def _reject(self, holding: _Holding, reason: str) -> CommandFailed:
         self._board.metrics.count("allowances_rejected")
@@ -412,8 +428,9 @@
         stock = holding.stock
         unused = stock.take_unused(now, self._board.authority.epoch)
         wanted = 0
+        waiting = len(holding.waiters)
         if now >= holding.asked_until and now >= stock.exhausted_until:
-            wanted = stock.compute_wanted(now, len(holding.waiters))
+            wanted = stock.compute_wanted(now, waiting)
         if not wanted and unused is None:
             return None
         if wanted:
@@ -421,7 +438,8 @@
         return AllowanceDemand(
             holding.workspace.name,
             wanted,
-            stock.demand.estimate(now),
+            min(wanted, max(0, stock.compute_missing(now, waiting))),
+            stock.demand.estimate_others(now),
             0 if unused is None else unused.count,
             0 if unused is None else unused.slot,
         )
--- a/src/burdocksail/traffic/_allowance_stock.py
+++ b/src/burdocksail/traffic/_allowance_stock.py
@@ -37,10 +37,12 @@
     _short: float = 0.0
     _long: float = 0.0
     _updated_at: float = 0.0
+    _arrived_at: float = -math.inf
 
     def record(self, now: float) -> None:
         """Record an arrival."""
         self._decay(now)
+        self._arrived_at = now
         self._short += 1.0 / SHORT_AVERAGE
         self._long += 1.0 / LONG_AVERAGE
 
@@ -49,6 +51,15 @@
         self._decay(now)
         return max(self._short, self._long)
 
+    def estimate_others(self, now: float) -> float:
+        """Return arrivals per second, without one that has arrived just now.
+
+        An estimate at the moments of arrivals would be too high otherwise.
+        """
+        last = 1.0 / SHORT_AVERAGE if now == self._arrived_at else 0.0
+        self._decay(now)
+        return max(0.0, self._short - last)
+
     def is_steady(self, now: float) -> bool:
         """Return whether a token in stock will probably be used before it expires."""
         self._decay(now)
@@ -143,6 +154,9 @@
         Clock reading up to which rejected operations were told to come back.
     retry_interval : float
         Seconds between two such times.
+    stock_paused_until : float
+        Clock reading before which no tokens are asked for but for operations that
+        wait, as the leader had none for the stock.
     """
 
     batches: deque[Batch] = field(default_factory=deque)
@@ -152,6 +166,7 @@
     exhausted_until: float = -math.inf
     retry_at: float = -math.inf
     retry_interval: float = 0.0
+    stock_paused_until: float = -math.inf
 
     def count(self, now: float) -> int:
         """Return the tokens that can be used now."""
@@ -207,16 +222,22 @@
         batch = self.batches.popleft()
         return batch if batch.epoch == epoch else None
 
-    def compute_wanted(self, now: float, waiting: int) -> int:
-        """Return how many tokens to ask for, 0 if there are enough.
+    def compute_missing(self, now: float, waiting: int) -> int:
+        """Return how many of the operations that are here have no token.
+
+        Negative if there are more tokens than operations.
 
         Parameters
         ----------
         waiting : int
             Operations that wait for a token.
         """
-        missing = waiting + self.reserved - self.count(now)
-        if not self.demand.is_steady(now):
+        return waiting + self.reserved - self.count(now)
+
+    def compute_wanted(self, now: float, waiting: int) -> int:
+        """Return how many tokens to ask for, 0 if there are enough."""
+        missing = self.compute_missing(now, waiting)
+        if now < self.stock_paused_until or not self.demand.is_steady(now):
             return max(0, missing)
         rate = self.demand.estimate(now)
         if missing + max(1.0, RENEWAL_SECONDS * rate) <= 0:
--- a/src/burdocksail/traffic/_allowances.py
+++ b/src/burdocksail/traffic/_allowances.py
@@ -13,6 +13,8 @@
 # Longest possible depth of a bucket is kept at this share of the rate at least: a
 # shallower one could not hold what several instances take at the same time.
 MIN_DEPTH_SECONDS = 0.2
+# Tokens are scarce if there are fewer than are filled in during this time.
+SCARCE_SECONDS = 0.2
 SLOT = 0.1  # seconds; grants are recorded with this precision
 RETURN_LIMIT = 2.0  # seconds after a grant in which its tokens can be returned
 DEMAND_LIFETIME = 1.0  # seconds; an instance with demand reports it several times
@@ -247,17 +249,27 @@
         self.bucket.fill(now, amount, max(0.0, depth))
 
     def grant(
-        self, instance: str, wanted: int, demand: float, now: float, rate: float
+        self,
+        instance: str,
+        wanted: int,
+        urgent: int,
+        demand: float,
+        now: float,
+        rate: float,
     ) -> tuple[int, float]:
         """Return the tokens granted to an instance, and the seconds until more.
 
-        In order of arrival while the fleet wants less than the rate; otherwise an
-        instance gets its share of what there is, one token at least.
+        In order of arrival while there are enough. When they are scarce, nothing is
+        kept in stock at instances; if the fleet wants more than the rate as well, an
+        instance gets its share of what there is, and one token at least for an
+        operation that waits.
 
         Parameters
         ----------
         wanted : int
             Tokens that the instance wants.
+        urgent : int
+            Those among them for which operations wait.
         demand : float
             Operations per second that arrive there.
         rate : float
@@ -265,10 +277,13 @@
         """
         share = self.shares.record(instance, demand, now)
         limit = wanted
-        if self.shares.total > rate:
-            limit = min(wanted, max(1, int(self.bucket.level * share)))
-        else:
-            share = 1.0
+        excess = 0.0
+        if self.bucket.level < SCARCE_SECONDS * rate:
+            limit = min(wanted, urgent)
+            if self.shares.total > rate:
+                excess = 1.0 - rate / self.shares.total
+                fair = int(self.bucket.level * share)
+                limit = min(wanted, max(fair, min(1, urgent)))
         granted = self.bucket.take(limit)
         self.granted += granted
         if granted >= wanted:
@@ -276,7 +291,9 @@
         if rate <= 0:
             return granted, DEMAND_LIFETIME
         until_next = max(0.0, 1.0 - self.bucket.level) / rate
-        return granted, max(until_next, 1.0 / (share * rate) if share < 1.0 else 0.0)
+        # An instance's next token comes after 1 / (share * rate), of which the excess
+        # is the part for which it has to wait.
+        return granted, max(until_next, excess / (share * rate))
 
     def give_back(self, slot_index: int, count: int) -> None:
         """Undo the grant of tokens that an instance has not used."""
