Wait for most of the statement timeout where there are workspaces

A statement was given up after min(0.6 target, 0.45 timeout), and callers were lost after three such attempts although queues were still moving. Where the configuration holds workspaces, a statement now waits until its timeout less the time that it usually takes to run (mean and four mean deviations, by route), and is rejected at once if the queue takes longer. Reads go to the shortest queue. Rejected callers return at the rate at which the queue is served.

--- a/src/burdocksail/experiments/_patterns.py
+++ b/src/burdocksail/experiments/_patterns.py
@@ -20,6 +20,7 @@
     """What an event of a pattern does."""
 
     BURST = "burst"  # more requests of one class
+    HOT = "hot"  # more requests of one workspace
     SHIFT = "shift"  # the callers of one failure domain come to another
     SLOW = "slow"  # a server runs everything slower
     SHED = "shed"  # a server has a shorter queue
@@ -49,6 +50,27 @@
     lag: float = Field(default=0.02, ge=0)
 
 
+class WorkspacesPattern(_Model):
+    """Workspaces that send the requests, named ``workspace-0`` and so on.
+
+    Attributes
+    ----------
+    skew : float
+        Exponent of their sizes: the n-th sends 1/n**skew as much as the first.
+    priorities : tuple of int
+        Priorities, given to the workspaces in turn.
+    """
+
+    count: int = Field(ge=1)
+    skew: float = Field(default=0.0, ge=0)
+    priorities: tuple[int, ...] = Field(default=(1,), min_length=1)
+
+    def compute_shares(self) -> dict[str, float]:
+        """Return the share of the requests that each workspace sends."""
+        sizes = [1 / (n + 1) ** self.skew for n in range(self.count)]
+        return {f"workspace-{n}": s / sum(sizes) for n, s in enumerate(sizes)}
+
+
 class RequestClass(_Model):
     """One kind of request; times are in seconds, rates for all instances together.
 
@@ -79,7 +101,8 @@
     value : float
         Factor, share, queue length or lag, as the kind needs it.
     target : str
-        Class, failure domain or server that it concerns, as the kind needs it.
+        Class, workspace, failure domain or server that it concerns, as the kind
+        needs it.
     """
 
     kind: EventKind
@@ -90,14 +113,18 @@
 
 
 class Pattern(_Model):
-    """A load pattern; `duration` is in seconds."""
+    """A load pattern; `duration` is in seconds.
+
+    `workspaces` is None if the configuration separates none.
+    """
 
     name: str
     description: str
     duration: float = Field(gt=0, le=600)
-    instances: int = Field(default=6, ge=1, le=64)
+    instances: int = Field(default=6, ge=1, le=128)
     retries: int = Field(default=2, ge=0)
     server: ServerPattern = ServerPattern()
+    workspaces: WorkspacesPattern | None = None
     classes: tuple[RequestClass, ...] = Field(min_length=1)
     events: tuple[Event, ...] = ()
 
--- a/src/burdocksail/experiments/_playback.py
+++ b/src/burdocksail/experiments/_playback.py
@@ -6,7 +6,14 @@
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
 
-from burdocksail.catalog import Catalog, Route, Service
+from burdocksail.catalog import (
+    Catalog,
+    Route,
+    Service,
+    Workspace,
+    Workspaces,
+    digest_key,
+)
 from burdocksail.core import FailureKind, Run
 from burdocksail.experiments._patterns import Event, EventKind, Pattern, RequestClass
 from burdocksail.fakes import (
@@ -18,6 +25,7 @@
 )
 from burdocksail.serving import CallerReply, CallerSession
 
+SALT = b"experiment"
 SETTLE_TIME = 2.0  # seconds between the start of the fleet and the first request
 NO_INSTANCE_DELAY = 0.25  # seconds until a caller without an instance tries again
 RETRYABLE = frozenset({FailureKind.BUSY, FailureKind.ABORTED})
@@ -40,6 +48,8 @@
         took it.
     attempts : int
         Attempts of the caller.
+    workspace : str
+        Workspace of the caller; empty if the pattern has none.
     """
 
     request_class: RequestClass
@@ -49,6 +59,7 @@
     in_target: bool = False
     failure: FailureKind | None = None
     attempts: int = 0
+    workspace: str = ""
 
 
 @dataclass(slots=True)
@@ -89,6 +100,8 @@
         self._ids = itertools.count()
         self._shifted_domains: dict[str, str] = {}
         self._rate_factors: dict[str, float] = {}
+        workspaces = pattern.workspaces
+        self._shares = {} if workspaces is None else workspaces.compute_shares()
         self._started_at = 0.0
 
     async def run(self) -> Playback:
@@ -133,7 +146,18 @@
             for c in self._pattern.classes
         }
         services = {SERVICE: Service(SERVICE, server.max_connections, 0)}
-        return Catalog(1, routes, services, 3.0, 1 << 18)
+        workspaces = self._make_workspaces()
+        return Catalog(1, routes, services, 3.0, 1 << 18, workspaces)
+
+    def _make_workspaces(self) -> Workspaces | None:
+        """Return the workspaces; the key of each is its name."""
+        pattern = self._pattern.workspaces
+        if pattern is None:
+            return None
+        priorities = itertools.cycle(pattern.priorities)
+        by_name = {n: Workspace(n, priority=next(priorities)) for n in self._shares}
+        owners = {digest_key(name, SALT): name for name in self._shares}
+        return Workspaces(by_name, SALT, owners)
 
     def _count_server_work(self) -> None:
         capacities = [
@@ -154,7 +178,7 @@
     ) -> None:
         while True:
             factor = self._rate_factors.get(request_class.name, 1.0)
-            rate = request_class.per_second * factor
+            rate = request_class.per_second * factor * sum(self._shares.values() or [1])
             await asyncio.sleep(self._random.expovariate(rate))
             if self._now() >= self._pattern.duration:
                 return
@@ -163,6 +187,10 @@
     async def _ask(self, request_class: RequestClass) -> None:
         """Play one caller's request with its retries."""
         record = RequestRecord(request_class, self._now())
+        if self._shares:
+            (record.workspace,) = self._random.choices(
+                list(self._shares), list(self._shares.values())
+            )
         self._playback.requests.append(record)
         deadline = record.asked_at + request_class.deadline
         domain = self._random.choice(DOMAINS)
@@ -176,7 +204,7 @@
                 delay = NO_INSTANCE_DELAY
             else:
                 record.attempts += 1
-                reply = await self._attempt(name, request_class, writes, work)
+                reply = await self._attempt(name, record, writes, work)
                 if reply.failure_kind is None:
                     record.served = True
                     break
@@ -206,11 +234,12 @@
         return self._random.choice(names) if names else None
 
     async def _attempt(
-        self, name: str, request_class: RequestClass, writes: bool, work: float
+        self, name: str, record: RequestRecord, writes: bool, work: float
     ) -> CallerReply:
         instance = self._fleet.instances[name]
+        request_class = record.request_class
         await instance.wait_for_catalog(request_class.timeout)
-        session = CallerSession(instance.serving, request_class.name)
+        session = CallerSession(instance.serving, request_class.name, record.workspace)
         text = f"{'WRITE' if writes else 'READ'} work={work:.6f}"
         try:
             return await session.execute(Run(str(next(self._ids)), text, writes))
@@ -226,6 +255,12 @@
         await asyncio.sleep(event.duration)
         del self._rate_factors[event.target]
 
+    async def _heat(self, event: Event) -> None:
+        """Raise the share of a workspace; the requests of the others stay."""
+        self._shares[event.target] *= event.value
+        await asyncio.sleep(event.duration)
+        self._shares[event.target] /= event.value
+
     async def _shift(self, event: Event) -> None:
         for domain in DOMAINS:
             self._shifted_domains[domain] = event.target
@@ -283,6 +318,7 @@
 }
 _EVENT_PLAYERS: dict[EventKind, Callable[[_Player, Event], Coroutine]] = {
     EventKind.BURST: _Player._burst,
+    EventKind.HOT: _Player._heat,
     EventKind.SHIFT: _Player._shift,
     EventKind.SLOW: _Player._change_capacity,
     EventKind.SHED: _Player._change_capacity,
--- a/src/burdocksail/experiments/_summaries.py
+++ b/src/burdocksail/experiments/_summaries.py
@@ -1,10 +1,13 @@
 """Tables of what became of the requests of a playback."""
 
+from collections import defaultdict
 from collections.abc import Sequence
 from dataclasses import dataclass
 
 from burdocksail.experiments._playback import Playback, RequestRecord
 
+LARGEST_WORKSPACE = "workspace-0"
+
 
 @dataclass(frozen=True, slots=True)
 class ClassSummary:
@@ -41,6 +44,11 @@
         Connections opened, for each request.
     attempts : float
         Attempts of the callers for each request.
+    worst_second : float
+        Smallest share that was served of the requests of one second, over all
+        playbacks together.
+    workspaces : tuple of ClassSummary
+        The largest workspace and all others together; empty if there are none.
     """
 
     pattern: str
@@ -50,6 +58,8 @@
     opened_share: float
     attempts: float
     busiest_share: float
+    worst_second: float
+    workspaces: tuple[ClassSummary, ...] = ()
 
     @property
     def total(self) -> ClassSummary:
@@ -84,9 +94,28 @@
         sum(p.opened for p in playbacks) / asked,
         sum(r.attempts for r in requests) / asked,
         sum(p.busiest_share for p in playbacks) / len(playbacks),
+        _find_worst_second(requests),
+        _summarize_workspaces(requests),
     )
 
 
+def _find_worst_second(requests: Sequence[RequestRecord]) -> float:
+    seconds = defaultdict(list)
+    for request in requests:
+        seconds[int(request.asked_at)].append(request.served)
+    return min((sum(s) / len(s) for s in seconds.values()), default=1.0)
+
+
+def _summarize_workspaces(
+    requests: Sequence[RequestRecord],
+) -> tuple[ClassSummary, ...]:
+    if not any(r.workspace for r in requests):
+        return ()
+    largest = [r for r in requests if r.workspace == LARGEST_WORKSPACE]
+    others = [r for r in requests if r.workspace != LARGEST_WORKSPACE]
+    return (_summarize_class("largest", largest), _summarize_class("others", others))
+
+
 def _summarize_class(name: str, requests: Sequence[RequestRecord]) -> ClassSummary:
     asked = len(requests)
     in_target = sum(r.in_target for r in requests)
@@ -115,12 +144,13 @@
         lines.extend(
             f"{c.name:<12}{c.asked:>8}{c.in_target:>11.4f}{c.late:>8.4f}"
             f"{c.rejected:>10.4f}{c.wait_p50 * 1000:>9.0f}{c.wait_p99 * 1000:>9.0f}"
-            for c in summary.classes
+            for c in summary.classes + summary.workspaces
         )
         lines.append(
             f"for each request: {summary.rejected_share:.3f} rejected by servers, "
             f"{summary.opened_share:.3f} connections opened, "
             f"{summary.attempts:.3f} attempts; busiest server "
-            f"{summary.busiest_share:.2f} times the mean"
+            f"{summary.busiest_share:.2f} times the mean; worst second "
+            f"{summary.worst_second:.3f} served"
         )
     return "\n".join(lines)
--- a/src/burdocksail/serving/_choice.py
+++ b/src/burdocksail/serving/_choice.py
@@ -1,18 +1,16 @@
 """Choice of the server for a statement, and the wait until one can run it."""
 
 from burdocksail.board import GroupState, GroupView
+from burdocksail.catalog import Upstream
 from burdocksail.serving._freshness import compute_floor
-from burdocksail.serving._pools import Pool
-from burdocksail.serving._requests import (
-    PRIMARY_WAIT_SHARE,
-    StatementRequest,
-    reject,
-)
+from burdocksail.serving._pools import Pool, PooledConnection
+from burdocksail.serving._requests import StatementRequest, reject
 from burdocksail.serving._routing import rank_servers
 from burdocksail.traffic import Obstacle
 
 ACQUIRE_SHARE = 0.2  # of the target latency, to wait for a connection to one server
 LEASE_WAIT_SHARE = 0.2  # of the target latency, to wait for a valid lease
+WAIT_MARGIN = 2.0  # of the expected wait, before another server is tried
 POLL_INTERVAL = 0.015  # seconds, of what waits without a notification
 
 _OBSTACLE_REASONS = {
@@ -35,10 +33,7 @@
     """
     board = request.board
     service = request.route.service
-    wait_until = min(
-        request.arrived_at + request.route.statement_timeout * PRIMARY_WAIT_SHARE,
-        request.deadline,
-    )
+    wait_until = request.primary_deadline
     while True:
         now = board.now()
         view = board.get_view_for_new_work(service)
@@ -89,7 +84,8 @@
     Raises
     ------
     CommandFailed
-        If there is no server by the retry deadline, or no primary in time.
+        If there is no server by the retry deadline, or no primary in time; where there
+        are workspaces, also if every queue takes too long.
     """
     board = request.board
     while True:
@@ -103,6 +99,8 @@
             board, request.serving.pools, request.route.service, floor
         )
         untried = [u for u in ranked if u.id not in request.tried_ids]
+        if untried and request.serving.has_workspaces:
+            return _choose_by_wait(request, untried)
         if untried:
             return request.serving.pools.get(untried[0])
         request.tried_ids.clear()
@@ -111,11 +109,64 @@
         await board.changed.wait(POLL_INTERVAL)
 
 
-def compute_acquire_timeout(request: StatementRequest) -> float:
-    """Return the seconds for which a read waits for a connection to one server.
+def _choose_by_wait(request: StatementRequest, ranked: list[Upstream]) -> Pool:
+    """Return the pool of the first server with a short queue, else the shortest one.
 
-    The limit is short because the server may be unreachable, and others can run
-    the read as well.
+    Raises
+    ------
+    CommandFailed
+        If every queue takes longer than the statement can wait.
     """
+    pools = [request.serving.pools.get(upstream) for upstream in ranked]
+    workspace = request.session.workspace
     limit = request.route.target_latency * ACQUIRE_SHARE
-    return min(limit, request.retry_deadline - request.board.now())
+    waits = [pool.estimate_wait(request.order, workspace) for pool in pools]
+    for pool, wait in zip(pools, waits, strict=True):
+        if wait <= limit:
+            return pool
+    shortest = waits.index(min(waits))
+    left = request.retry_deadline - request.board.now()
+    if waits[shortest] > left:
+        request.expected_wait = pools[shortest].assign_return(waits[shortest] - left)
+        raise reject(request, "the queues are too long", Obstacle.OVERLOAD)
+    return pools[shortest]
+
+
+async def acquire_for_read(request: StatementRequest, pool: Pool) -> PooledConnection:
+    """Return a connection for a read, which other servers can run as well.
+
+    The wait for one server is short because it may be unreachable.
+
+    Raises
+    ------
+    NoConnection
+        If none becomes available in time.
+    """
+    limit = request.route.target_latency * ACQUIRE_SHARE
+    return await _acquire(request, pool, limit)
+
+
+async def acquire_at_primary(request: StatementRequest, pool: Pool) -> PooledConnection:
+    """Return a connection to the primary.
+
+    Where there are workspaces, a statement may wait for so long that the primary is
+    replaced meanwhile, so one wait is limited and another may follow.
+
+    Raises
+    ------
+    NoConnection
+        If none becomes available in time.
+    """
+    return await _acquire(request, pool, request.single_wait_limit)
+
+
+async def _acquire(
+    request: StatementRequest, pool: Pool, limit: float
+) -> PooledConnection:
+    workspace = request.session.workspace
+    left = request.retry_deadline - request.board.now()
+    if not request.serving.has_workspaces:
+        return await pool.acquire(request.order, min(limit, left), workspace)
+    expected = pool.estimate_wait(request.order, workspace)
+    timeout = min(max(limit, expected * WAIT_MARGIN), left)
+    return await pool.acquire(request.order, timeout, workspace, left)
--- a/src/burdocksail/serving/_context.py
+++ b/src/burdocksail/serving/_context.py
@@ -1,6 +1,7 @@
 """State of a caller's session, and what all sessions of an instance share."""
 
 import random
+from collections import defaultdict
 from dataclasses import dataclass, field
 
 from burdocksail.board import Blackboard
@@ -8,7 +9,13 @@
 from burdocksail.serving._decisions import DecisionLog
 from burdocksail.serving._freshness import SessionCommits
 from burdocksail.serving._pools import ConnectionPools
-from burdocksail.traffic import Obstacle, RetryBudget, compute_retry_after
+from burdocksail.traffic import (
+    MAX_RETURN_DELAY,
+    Obstacle,
+    RetryBudget,
+    RunTime,
+    compute_retry_after,
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,6 +68,17 @@
         self.open_transactions = 0
         self.retry_budget = RetryBudget()
         self.random = random.Random(f"{board.member.incarnation}/serving")
+        self._run_times: defaultdict[str, RunTime] = defaultdict(RunTime)
+
+    @property
+    def has_workspaces(self) -> bool:
+        """Return whether the configuration in force holds workspaces."""
+        catalog = self.board.catalog.catalog
+        return catalog is not None and catalog.workspaces is not None
+
+    def get_run_time(self, route: Route) -> RunTime:
+        """Return the usual run time of the statements of a route."""
+        return self._run_times[route.name]
 
     def find_route(self, database: str) -> Route | None:
         """Return the route of a database in the configuration in force.
@@ -77,4 +95,7 @@
 
         `expected` is the estimated time until the obstacle is gone, in seconds.
         """
-        return compute_retry_after(obstacle, route.priority, self.random, expected)
+        arguments = (obstacle, route.priority, self.random, expected)
+        if self.has_workspaces:
+            return compute_retry_after(*arguments, MAX_RETURN_DELAY)
+        return compute_retry_after(*arguments)
--- a/src/burdocksail/serving/_pools.py
+++ b/src/burdocksail/serving/_pools.py
@@ -21,7 +21,7 @@
 )
 from burdocksail.serving._budget import compute_budget
 from burdocksail.serving._statistics import ServerStatistics
-from burdocksail.traffic import DrainRate, OpeningWindow
+from burdocksail.traffic import DrainRate, OpeningWindow, ReturnSchedule
 
 CONNECT_TIMEOUT = 1.0  # seconds; several round trips across regions and a handshake
 TIMER_SLACK = 0.002  # seconds; an event-loop timer may fire early against the clock
@@ -117,6 +117,7 @@
         self._sequence = itertools.count()
         self._opening_window = OpeningWindow()
         self._drain = DrainRate()
+        self._returns = ReturnSchedule()
         self._tasks: set[asyncio.Task] = set()
         self._closed = False
         self._random = random.Random(f"{board.member.incarnation}/{upstream.id}")
@@ -143,7 +144,11 @@
         return not self._in_use and not self._waiters and not self._opening
 
     async def acquire(
-        self, order: float, timeout: float, workspace: str | None = ""
+        self,
+        order: float,
+        timeout: float,
+        workspace: str | None = "",
+        patience: float | None = None,
     ) -> PooledConnection:
         """Return a connection for exclusive use; `release` gives it back.
 
@@ -153,20 +158,23 @@
             Requests with a lower value are served first.
         workspace : str or None
             Workspace to which the connection has to belong; None for any.
+        patience : float or None
+            Seconds that the request can wait in all, where it may wait again after
+            `timeout`; None if it is `timeout`.
 
         Raises
         ------
         NoConnection
             If none becomes available within `timeout` seconds; at once if the pool
             is closed, if opening one fails while none is in use, or if the requests
-            that are served first take longer than that.
+            that are served first take longer than it can wait.
         """
         connection = self._take_idle(workspace)
         if connection is not None:
             return connection
         if self._closed:
             raise NoConnection("the upstream is not in use any more")
-        self._check_expected_wait(order, timeout)
+        self._check_expected_wait(order, timeout, workspace, patience)
         future = asyncio.get_running_loop().create_future()
         waiter = _Waiter(order, next(self._sequence), workspace, future)
         heapq.heappush(self._waiters, waiter)
@@ -187,6 +195,23 @@
             raise NoConnection(self._last_failure or "no answer", not self._server_full)
         raise NoConnection("all connections are in use")
 
+    def estimate_wait(self, order: float, workspace: str | None = "") -> float:
+        """Return the expected seconds until a request would get a connection.
+
+        0 if it would get one at once, or if nothing is known.
+        """
+        ahead = sum(
+            1 for w in self._waiters if w.order <= order and not w.future.done()
+        )
+        return self._drain.estimate_wait(ahead, self._board.now())
+
+    def assign_return(self, room_in: float) -> float:
+        """Return the seconds after which a rejected caller should come back.
+
+        `room_in` is the time in seconds until the queue has room for its request.
+        """
+        return self._returns.assign(self._board.now(), room_in, self._drain.interval)
+
     def release(self, connection: PooledConnection) -> None:
         """Return a connection to the pool; it is closed if broken."""
         self._in_use.discard(id(connection))
@@ -282,13 +307,19 @@
         elif not isinstance(future.result(), NoConnection):
             self.release(future.result())
 
-    def _check_expected_wait(self, order: float, timeout: float) -> None:
-        ahead = sum(
-            1 for w in self._waiters if w.order <= order and not w.future.done()
-        )
-        expected = self._drain.estimate_wait(ahead, self._board.now())
-        if expected > timeout:
-            raise NoConnection("the queue is too long", expected_wait=expected)
+    def _check_expected_wait(
+        self,
+        order: float,
+        timeout: float,
+        workspace: str | None,
+        patience: float | None,
+    ) -> None:
+        expected = self.estimate_wait(order, workspace)
+        if expected <= (timeout if patience is None else patience):
+            return
+        if patience is not None:
+            expected = self.assign_return(expected - patience)
+        raise NoConnection("the queue is too long", expected_wait=expected)
 
     def _open_if_needed(self) -> None:
         """Open connections for waiting requests that have none under way."""
--- a/src/burdocksail/serving/_requests.py
+++ b/src/burdocksail/serving/_requests.py
@@ -38,6 +38,8 @@
         Number of attempts so far.
     was_sent : bool
         Whether an attempt has been sent to a server; not set for BEGIN.
+    sent_at : float
+        Clock reading at which the last attempt was sent.
     last_error : str
         Why the last attempt failed.
     obstacle : Obstacle
@@ -58,6 +60,7 @@
     arrived_at: float = 0.0
     attempts: int = 0
     was_sent: bool = False
+    sent_at: float = 0.0
     last_error: str = "no server is known"
     obstacle: Obstacle = Obstacle.UNREACHABLE
     expected_wait: float = 0.0
@@ -68,6 +71,11 @@
         self.arrived_at = self.serving.board.now()
         self.serving.retry_budget.record_request()
 
+    def record_run_time(self) -> None:
+        """Record how long the server took to answer the last attempt."""
+        seconds = self.board.now() - self.sent_at
+        self.serving.get_run_time(self.route).record(seconds)
+
     @property
     def order(self) -> float:
         """Return the place of the statement among those that wait."""
@@ -90,9 +98,41 @@
 
     @property
     def retry_deadline(self) -> float:
-        """Return the clock reading after which a failed attempt is not retried."""
+        """Return the clock reading after which a failed attempt is not retried.
+
+        Where there are workspaces, the latest time at which the statement can be sent
+        and is usually answered before its deadline.
+        """
+        if self.serving.has_workspaces:
+            return self._latest_start
+        return min(self.arrived_at + self.single_wait_limit, self.deadline)
+
+    @property
+    def single_wait_limit(self) -> float:
+        """Return the seconds after which the primary of the wait is checked again."""
         limit = self.route.target_latency * RETRY_SHARE
-        limit = min(limit, self.route.statement_timeout * PRIMARY_WAIT_SHARE)
+        return min(limit, self.route.statement_timeout * PRIMARY_WAIT_SHARE)
+
+    @property
+    def begin_deadline(self) -> float:
+        """Return the clock reading until which a server may answer BEGIN.
+
+        Where there are workspaces, `retry_deadline` leaves the time for the answer.
+        """
+        return self.deadline if self.serving.has_workspaces else self.retry_deadline
+
+    @property
+    def primary_deadline(self) -> float:
+        """Return the clock reading until which the statement waits for a primary."""
+        if self.serving.has_workspaces:
+            return self._latest_start
+        limit = self.route.statement_timeout * PRIMARY_WAIT_SHARE
+        return min(self.arrived_at + limit, self.deadline)
+
+    @property
+    def _latest_start(self) -> float:
+        timeout = self.route.statement_timeout
+        limit = self.serving.get_run_time(self.route).compute_wait_limit(timeout)
         return min(self.arrived_at + limit, self.deadline)
 
     @property
@@ -115,10 +155,18 @@
     """Record that no connection to a server was available.
 
     A server that does not answer is avoided for longer than one that is full.
+
+    Raises
+    ------
+    CommandFailed
+        If there are workspaces, and the queue takes longer than the statement can
+        wait at any server.
     """
     avoid_for = AVOID_BROKEN if error.unreachable else AVOID_BUSY
     record_failed_attempt(request, pool, "no connection", str(error), avoid_for)
     request.expected_wait = error.expected_wait
+    if request.serving.has_workspaces and error.expected_wait > 0:
+        raise reject(request, request.last_error, request.obstacle)
     if error.unreachable:
         request.obstacle = Obstacle.UNREACHABLE
         request.board.authority.suspected.add(request.route.service)
--- a/src/burdocksail/serving/_statements.py
+++ b/src/burdocksail/serving/_statements.py
@@ -4,8 +4,9 @@
 from burdocksail.core import FailureKind
 from burdocksail.ports import Reply, ReplyStatus, UpstreamLost
 from burdocksail.serving._choice import (
+    acquire_at_primary,
+    acquire_for_read,
     choose_server,
-    compute_acquire_timeout,
     wait_for_primary,
 )
 from burdocksail.serving._exchange import exchange
@@ -70,9 +71,7 @@
     request.attempts += 1
     request.tried_ids.add(pool.upstream.id)
     try:
-        connection = await pool.acquire(
-            request.order, compute_acquire_timeout(request), request.session.workspace
-        )
+        connection = await acquire_for_read(request, pool)
     except NoConnection as error:
         record_connection_failure(request, pool, error)
         return None
@@ -89,7 +88,7 @@
     timeout = _compute_read_timeout(request)
     request.floor = floor
     request.was_sent = True
-    asked_at = board.now()
+    request.sent_at = asked_at = board.now()
     try:
         reply = await exchange(
             board,
@@ -128,6 +127,7 @@
     request: StatementRequest, pool: Pool, reply: Reply
 ) -> Reply | None:
     if reply.status is ReplyStatus.DONE:
+        request.record_run_time()
         request.serving.decisions.write(
             "read answered",
             request.command.request_id,
@@ -157,9 +157,8 @@
     board = request.board
     service = request.route.service
     request.attempts += 1
-    wait = request.retry_deadline - board.now()
     try:
-        connection = await pool.acquire(request.order, wait, request.session.workspace)
+        connection = await acquire_at_primary(request, pool)
     except NoConnection as error:
         record_connection_failure(request, pool, error)
         return None
@@ -169,7 +168,7 @@
     in_flight = board.authority.in_flight
     in_flight[service] = in_flight.get(service, 0) + 1
     request.was_sent = True
-    asked_at = board.now()
+    request.sent_at = asked_at = board.now()
     try:
         reply = await exchange(
             board,
@@ -207,6 +206,7 @@
                     FailureKind.UNKNOWN_OUTCOME, "the primary may have been replaced"
                 )
             record_commit(request.session, view, reply, board.now())
+        request.record_run_time()
         request.serving.decisions.write(
             "answered at the primary",
             request.command.request_id,
--- a/src/burdocksail/serving/_transactions.py
+++ b/src/burdocksail/serving/_transactions.py
@@ -20,8 +20,9 @@
 )
 from burdocksail.ports import Reply, ReplyStatus, UpstreamLost
 from burdocksail.serving._choice import (
+    acquire_at_primary,
+    acquire_for_read,
     choose_server,
-    compute_acquire_timeout,
     wait_for_primary,
 )
 from burdocksail.serving._context import ServingContext, SessionState
@@ -180,15 +181,9 @@
         board = self._board
         request.attempts += 1
         request.tried_ids.add(pool.upstream.id)
-        wait = (
-            compute_acquire_timeout(request)
-            if view is None
-            else request.retry_deadline - board.now()
-        )
+        acquire = acquire_for_read if view is None else acquire_at_primary
         try:
-            connection = await pool.acquire(
-                request.order, wait, self._session.workspace
-            )
+            connection = await acquire(request, pool)
         except NoConnection as error:
             record_connection_failure(request, pool, error)
             return None
@@ -199,7 +194,7 @@
         binding = Binding(view, pool, connection)
         self._bind(binding)
         asked_at = board.now()
-        timeout = max(MIN_TIMEOUT, request.retry_deadline - board.now())
+        timeout = max(MIN_TIMEOUT, request.begin_deadline - board.now())
         begin = Begin("", self._read_only)
         try:
             reply = await exchange(
--- a/src/burdocksail/traffic/__init__.py
+++ b/src/burdocksail/traffic/__init__.py
@@ -13,14 +13,22 @@
 from burdocksail.traffic._placement import ServerLoad, rank_by_cost
 from burdocksail.traffic._rejection import Obstacle, compute_retry_after
 from burdocksail.traffic._waiting import DrainRate, compute_order
+from burdocksail.traffic._waiting_limits import (
+    MAX_RETURN_DELAY,
+    ReturnSchedule,
+    RunTime,
+)
 
 __all__ = [
+    "MAX_RETURN_DELAY",
     "ConcurrencyLimit",
     "DrainRate",
     "LagEstimate",
     "Obstacle",
     "OpeningWindow",
     "RetryBudget",
+    "ReturnSchedule",
+    "RunTime",
     "ServerHealth",
     "ServerLoad",
     "compute_backoff",
--- a/src/burdocksail/traffic/_rejection.py
+++ b/src/burdocksail/traffic/_rejection.py
@@ -35,6 +35,7 @@
     priority: int,
     rng: random.Random,
     expected: float = 0.0,
+    maximum: float = MAX_RETRY_AFTER,
 ) -> float:
     """Return the seconds after which a rejected caller should come back.
 
@@ -43,7 +44,9 @@
     expected : float
         Estimated seconds until the obstacle is gone, where there is an estimate
         that exceeds the usual time.
+    maximum : float
+        Maximum result in seconds.
     """
     factor = PRIORITY_FACTORS[min(priority, len(PRIORITY_FACTORS) - 1)]
     seconds = max(expected, obstacle.value) * factor * (1 + SPREAD * rng.random())
-    return min(max(seconds, MIN_RETRY_AFTER), MAX_RETRY_AFTER)
+    return min(max(seconds, MIN_RETRY_AFTER), maximum)
