--- a/src/burdocksail/traffic/__init__.py
+++ b/src/burdocksail/traffic/__init__.py
@@ -29,6 +29,11 @@
 from burdocksail.traffic._placement import ServerLoad, rank_by_cost
 from burdocksail.traffic._rejection import Obstacle, compute_retry_after
 from burdocksail.traffic._waiting import DrainRate, compute_order
+from burdocksail.traffic._waiting_limits import (
+    MAX_RETURN_DELAY,
+    ReturnSchedule,
+    RunTime,
+)
 
 __all__ = [
     "FLOOR_DELAY",
@@ -39,6 +44,7 @@
     "AllowanceLimit",
     "AllowanceStock",
     "Batch",
+    "MAX_RETURN_DELAY",
     "ConcurrencyLimit",
     "DrainRate",
     "HeardTime",
@@ -46,6 +52,8 @@
     "Obstacle",
     "OpeningWindow",
     "RetryBudget",
+    "ReturnSchedule",
+    "RunTime",
     "ServerHealth",
     "ServerLoad",
     "compute_backoff",
