Generate the thrift structures instead of reading the IDL at import

Reading fleet.thrift took 37 ms of processor time at each start of a process, and importing the parser for it some 60 ms more (python -X importtime).

--- a/src/burdocksail/fleet/_codec.py
+++ b/src/burdocksail/fleet/_codec.py
@@ -3,21 +3,16 @@
 import json
 import typing
 from dataclasses import dataclass
-from importlib.resources import as_file, files
-
-import thriftpy2
 
 from burdocksail.core import BurdocksailError
+from burdocksail.fleet import _structures
 from burdocksail.fleet._messages import Message
 from burdocksail.fleet._registration import is_addressable
 from burdocksail.ports import StoredObject, StoreVersion
 from burdocksail.structs import EnvelopeCodec, StructCodec, StructError
 
-with as_file(files("burdocksail.fleet") / "fleet.thrift") as idl_path:
-    _idl = thriftpy2.load(str(idl_path), module_name="burdocksail_fleet_thrift")
-
-_codec = StructCodec(_idl)
-_envelopes = EnvelopeCodec(_codec, _idl, Message)
+_codec = StructCodec(_structures)
+_envelopes = EnvelopeCodec(_codec, _structures, Message)
 
 MAX_ITEM_BYTES = 16 << 10  # many times an upstream's entry
 MAX_NAME_LENGTH = 255  # an upstream's name is in messages, which have little space
@@ -116,7 +111,7 @@
     """Return the serialized snapshot; objects that cannot be encoded are left out."""
     catalog = snapshot.catalog
     return _codec.write(
-        _idl.Snapshot(
+        _structures.Snapshot(
             catalog=None if catalog is None else _encode_item(catalog),
             upstreams=[
                 item
@@ -138,7 +133,7 @@
         If the snapshot is malformed.
     """
     try:
-        struct = _codec.read(_idl.Snapshot(), payload)
+        struct = _codec.read(_structures.Snapshot(), payload)
         catalog = struct.catalog
         return Snapshot(
             None if catalog is None else _decode_item(catalog),
@@ -160,7 +155,7 @@
         stored.name.encode()
     except (ValueError, TypeError, RecursionError):
         return None
-    return _idl.SnapshotItem(
+    return _structures.SnapshotItem(
         name=stored.name,
         revision=stored.revision,
         spec=spec,
--- a/src/burdocksail/structs/_codec.py
+++ b/src/burdocksail/structs/_codec.py
@@ -5,6 +5,7 @@
 encoded as microseconds and enumerations as their values.
 """
 
+import functools
 import types
 import typing
 from collections.abc import Callable, Mapping
@@ -13,10 +14,6 @@
 from enum import Enum
 from typing import Any
 
-from thriftpy2.protocol.cybin import TCyBinaryProtocol
-from thriftpy2.transport import TMemoryBuffer
-from thriftpy2.transport.buffered import TCyBufferedTransport
-
 from burdocksail.structs._containers import check_containers
 from burdocksail.structs._errors import StructError
 
@@ -33,6 +30,27 @@
     decode: Converter
 
 
+@dataclass(frozen=True, slots=True)
+class _Thrift:
+    make_buffer: Callable[..., Any]
+    make_transport: Callable[[Any], Any]
+    make_protocol: Callable[[Any], Any]
+
+
+@functools.cache
+def _load_thrift() -> _Thrift:
+    """Return what encodes and decodes the bytes of structs.
+
+    Importing the thrift library takes 75 ms of processor time. A process listens
+    before it does that, with its first message.
+    """
+    from thriftpy2.protocol.cybin import TCyBinaryProtocol
+    from thriftpy2.transport import TMemoryBuffer
+    from thriftpy2.transport.buffered import TCyBufferedTransport
+
+    return _Thrift(TMemoryBuffer, TCyBufferedTransport, TCyBinaryProtocol)
+
+
 def _identity(value: Any) -> Any:
     return value
 
@@ -56,7 +74,7 @@
     Parameters
     ----------
     idl : module
-        Loaded thrift definitions; each struct has the name of its dataclass.
+        Generated structures; each has the name of its dataclass.
     overrides : mapping of (type, str) to FieldCodec
         Custom conversions, by dataclass and field name.
     """
@@ -87,9 +105,10 @@
 
     def write(self, struct: Any) -> bytes:
         """Return the serialized struct."""
-        buffer = TMemoryBuffer()
-        transport = TCyBufferedTransport(buffer)
-        TCyBinaryProtocol(transport).write_struct(struct)
+        thrift = _load_thrift()
+        buffer = thrift.make_buffer()
+        transport = thrift.make_transport(buffer)
+        thrift.make_protocol(transport).write_struct(struct)
         transport.flush()
         return buffer.getvalue()
 
@@ -104,8 +123,9 @@
             If a container announces more elements than there are.
         """
         check_containers(payload)
-        transport = TCyBufferedTransport(TMemoryBuffer(payload))
-        TCyBinaryProtocol(transport).read_struct(struct)
+        thrift = _load_thrift()
+        transport = thrift.make_transport(thrift.make_buffer(payload))
+        thrift.make_protocol(transport).read_struct(struct)
         return struct
 
     def _get_encoder(self, record_type: type) -> Converter:
--- a/src/burdocksail/structs/_envelope.py
+++ b/src/burdocksail/structs/_envelope.py
@@ -13,7 +13,7 @@
     Parameters
     ----------
     idl : module
-        Loaded thrift definitions; ``Envelope`` has an optional field for each
+        Generated structures; ``Envelope`` has an optional field for each
         message type, with the name of that type.
     messages : union of types
         Dataclasses of the messages.
--- a/src/burdocksail/wire/_codec.py
+++ b/src/burdocksail/wire/_codec.py
@@ -1,9 +1,6 @@
 """Thrift encoding of messages and of a connection's first frame, the hello."""
 
 from collections.abc import Sequence
-from importlib.resources import as_file, files
-
-import thriftpy2
 
 from burdocksail.core import Instance, ResultSet
 from burdocksail.node import Message
@@ -13,20 +10,18 @@
     StructCodec,
     StructError,
 )
+from burdocksail.wire import _structures
 from burdocksail.wire._errors import WireError
 
 PROTOCOL_VERSION = 1
 
-with as_file(files("burdocksail.wire") / "peer.thrift") as idl_path:
-    _idl = thriftpy2.load(str(idl_path), module_name="burdocksail_peer_thrift")
-
 
 def _encode_rows(rows: Sequence[Sequence[bytes | None]]) -> list:
     encoded = []
     for row in rows:
         nulls = [i for i, value in enumerate(row) if value is None]
         values = [b"" if value is None else value for value in row]
-        encoded.append(_idl.Row(values=values, nulls=nulls or None))
+        encoded.append(_structures.Row(values=values, nulls=nulls or None))
     return encoded
 
 
@@ -47,8 +42,8 @@
 
 
 _ROWS_CODEC = FieldCodec(_encode_rows, _decode_rows)
-_struct_codec = StructCodec(_idl, {(ResultSet, "rows"): _ROWS_CODEC})
-_envelope_codec = EnvelopeCodec(_struct_codec, _idl, Message)
+_struct_codec = StructCodec(_structures, {(ResultSet, "rows"): _ROWS_CODEC})
+_envelope_codec = EnvelopeCodec(_struct_codec, _structures, Message)
 
 
 def encode_message(message: Message) -> bytes:
@@ -73,7 +68,7 @@
 def encode_hello(sender: Instance, nonce: bytes) -> bytes:
     """Return the payload of the first frame that one side of a connection sends."""
     sender_struct = _struct_codec.encode(sender)
-    hello = _idl.Hello(
+    hello = _structures.Hello(
         sender=sender_struct, nonce=nonce, protocol_version=PROTOCOL_VERSION
     )
     return _struct_codec.write(hello)
@@ -88,7 +83,7 @@
         If the payload is malformed or has another protocol version.
     """
     try:
-        hello = _struct_codec.read(_idl.Hello(), payload)
+        hello = _struct_codec.read(_structures.Hello(), payload)
         if hello.protocol_version != PROTOCOL_VERSION:
             raise WireError(
                 f"protocol version {hello.protocol_version} is not supported"
