--- a/src/burdocksail/agent/_instance.py
+++ b/src/burdocksail/agent/_instance.py
@@ -4,12 +4,11 @@
 from collections.abc import Callable, Coroutine
 from typing import Any, Protocol
 
-import structlog
-
 from burdocksail.agent._logging import LineBuffer
 from burdocksail.agent._sessions import SessionRegistry
 from burdocksail.authority import AuthorityController
 from burdocksail.board import Blackboard
+from burdocksail.core import get_logger
 from burdocksail.fleet import (
     Address,
     Message,
@@ -104,7 +103,7 @@
         self._registration = Registration(board, store)
         self._prober = PrimaryProber(board, self._pools)
         self._tasks: dict[asyncio.Task, None] = {}
-        self._log = structlog.get_logger()
+        self._log = get_logger()
 
     @property
     def is_ready(self) -> bool:
--- a/src/burdocksail/agent/_logging.py
+++ b/src/burdocksail/agent/_logging.py
@@ -1,20 +1,19 @@
 """Logging of JSON lines to standard output, without blocking the process."""
 
 import contextlib
+import functools
 import json
 import os
 from collections import deque
-from collections.abc import Mapping, MutableMapping
+from collections.abc import Callable, Mapping, MutableMapping
 from typing import Any
 
-import structlog
-
 MAX_BUFFERED_LINES = 2000  # a few seconds at the highest log rate
 MAX_LINE_LENGTH = 8192
 ALWAYS_RENDERED = ("event", "level", "timestamp", "instance", "failure_domain")
 STDOUT_FD = 1
 
-_render = structlog.processors.JSONRenderer()
+Renderer = Callable[[object, str, MutableMapping[str, Any]], str]
 
 
 class LineBuffer:
@@ -53,6 +52,13 @@
                 return
 
 
+@functools.cache
+def _make_renderer() -> Renderer:
+    from structlog.processors import JSONRenderer
+
+    return JSONRenderer()
+
+
 def render_line(logger: object, name: str, event: MutableMapping[str, Any]) -> str:
     """Return an event as a line of JSON of at most `MAX_LINE_LENGTH` characters.
 
@@ -60,7 +66,7 @@
     odd value must not end the controller that logs it.
     """
     try:
-        line = _render(logger, name, event)
+        line = _make_renderer()(logger, name, event)
     except (ValueError, TypeError, RecursionError) as error:
         return _render_substitute(event, problem=type(error).__name__)
     if len(line) > MAX_LINE_LENGTH:
@@ -73,14 +79,29 @@
     return json.dumps({**kept, **details})
 
 
-def configure_logging(instance: str, failure_domain: str) -> LineBuffer:
-    """Configure the logs of this process; return the buffer to flush regularly."""
-    buffer = LineBuffer()
+def configure_logging(instance: str, failure_domain: str, buffer: LineBuffer) -> None:
+    """Configure the logs of this process, which are written to a buffer.
+
+    Imports structlog, which takes a part of the time to start.
+    """
+    import structlog
+
+    # Not context variables: sessions run in the context in which the listener was
+    # opened, which may be before this call.
+    origin = {"instance": instance, "failure_domain": failure_domain}
+
+    def add_origin(
+        logger: object, name: str, event: MutableMapping[str, Any]
+    ) -> MutableMapping[str, Any]:
+        for field, value in origin.items():
+            event.setdefault(field, value)
+        return event
+
     with contextlib.suppress(OSError):
         os.set_blocking(STDOUT_FD, False)
     structlog.configure(
         processors=[
-            structlog.contextvars.merge_contextvars,
+            add_origin,
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper(fmt="iso", utc=True),
             render_line,
@@ -88,7 +109,3 @@
         logger_factory=lambda *_: buffer,
         cache_logger_on_first_use=True,
     )
-    structlog.contextvars.bind_contextvars(
-        instance=instance, failure_domain=failure_domain
-    )
-    return buffer
--- a/src/burdocksail/authority/_change.py
+++ b/src/burdocksail/authority/_change.py
@@ -9,8 +9,6 @@
 import asyncio
 from dataclasses import replace
 
-import structlog
-
 from burdocksail.authority._candidates import NoCandidate, Survey, choose_candidate
 from burdocksail.authority._inspection import InspectedServer, Inspector
 from burdocksail.authority._leadership import Leadership, LeadershipLost
@@ -20,7 +18,7 @@
 )
 from burdocksail.board import Blackboard, GroupState, GroupView
 from burdocksail.catalog import Upstream, UpstreamState
-from burdocksail.core import BurdocksailError, LogPosition
+from burdocksail.core import BurdocksailError, LogPosition, get_logger
 from burdocksail.ports import (
     Connector,
     Promoter,
@@ -80,7 +78,7 @@
         self._started_at = board.now()
         self._recorded_at = board.now()
         self._doubt = ""
-        self._log = structlog.get_logger().bind(
+        self._log = get_logger().bind(
             service=service, epoch=leadership.epoch, fence=leadership.fencing_token
         )
 
--- a/src/burdocksail/authority/_claims.py
+++ b/src/burdocksail/authority/_claims.py
@@ -9,8 +9,6 @@
 import zlib
 from collections.abc import Callable
 
-import structlog
-
 from burdocksail.authority._leadership import Leadership
 from burdocksail.authority._limits import (
     LEADER_TIMEOUT,
@@ -28,6 +26,7 @@
 )
 from burdocksail.board import Blackboard
 from burdocksail.catalog import UpstreamRole
+from burdocksail.core import get_logger
 from burdocksail.fleet import (
     AUTHORITY_NAME,
     CHALLENGE_PREFIX,
@@ -98,7 +97,7 @@
         self._started_at = board.now()
         self._challenged_at = float("-inf")
         self._random = random.Random(board.member.incarnation)
-        self._log = structlog.get_logger()
+        self._log = get_logger()
 
     def handle_report(self, report: LeaderReport) -> None:
         """Keep a peer's report on whether it hears from the leader."""
--- a/src/burdocksail/authority/_controller.py
+++ b/src/burdocksail/authority/_controller.py
@@ -6,14 +6,13 @@
 
 import asyncio
 
-import structlog
-
 from burdocksail.authority._claims import Claimant
 from burdocksail.authority._follower import Follower
 from burdocksail.authority._leadership import Leadership
 from burdocksail.authority._record import RecordError, decode_record
 from burdocksail.authority._watchdog import Watchdog
 from burdocksail.board import Blackboard
+from burdocksail.core import get_logger
 from burdocksail.fleet import (
     Address,
     Farewell,
@@ -70,7 +69,7 @@
             TakeOver: self._handle_take_over,
             Farewell: self._handle_farewell,
         }
-        self._log = structlog.get_logger()
+        self._log = get_logger()
 
     def is_leading(self) -> bool:
         """Return whether this instance leads, as far as it knows."""
--- a/src/burdocksail/authority/_follower.py
+++ b/src/burdocksail/authority/_follower.py
@@ -6,8 +6,6 @@
 import asyncio
 import random
 
-import structlog
-
 from burdocksail.authority._limits import (
     LEASE_DURATION,
     MAX_RENEWAL_DELAY,
@@ -15,6 +13,7 @@
     RENEW_INTERVAL,
 )
 from burdocksail.board import Blackboard, GroupState, GroupView, Member, Sample
+from burdocksail.core import get_logger
 from burdocksail.fleet import (
     Address,
     Farewell,
@@ -61,7 +60,7 @@
         self._started_at = board.now()
         self._adopted_at = float("-inf")
         self._has_released = False
-        self._log = structlog.get_logger()
+        self._log = get_logger()
 
     async def keep_lease(self) -> None:
         """Send a renewal every `RENEW_INTERVAL`; does not return."""
--- a/src/burdocksail/authority/_inspection.py
+++ b/src/burdocksail/authority/_inspection.py
@@ -3,9 +3,8 @@
 import asyncio
 from dataclasses import dataclass
 
-import structlog
-
 from burdocksail.catalog import Upstream
+from burdocksail.core import get_logger
 from burdocksail.ports import (
     ConnectFailed,
     Connector,
@@ -33,7 +32,7 @@
     def __init__(self, connector: Connector):
         self._connector = connector
         self._connections: dict[str, UpstreamConnection] = {}
-        self._log = structlog.get_logger()
+        self._log = get_logger()
 
     def close(self) -> None:
         """Close all connections."""
--- a/src/burdocksail/authority/_leadership.py
+++ b/src/burdocksail/authority/_leadership.py
@@ -7,8 +7,6 @@
 import asyncio
 from dataclasses import replace
 
-import structlog
-
 from burdocksail.authority._follower import Follower
 from burdocksail.authority._grantees import Grantees
 from burdocksail.authority._limits import (
@@ -31,7 +29,7 @@
     number_change,
 )
 from burdocksail.board import MAX_MONITORS, Blackboard, GroupState, GroupView, Member
-from burdocksail.core import BurdocksailError
+from burdocksail.core import BurdocksailError, get_logger
 from burdocksail.fleet import (
     INSTANCE_PREFIX,
     Address,
@@ -139,7 +137,7 @@
         self._confirmed_at = asked_at
         self._takeover_requested_at = float("-inf")
         self._monitors: frozenset[Address] = frozenset()
-        self._log = structlog.get_logger().bind(epoch=self.epoch)
+        self._log = get_logger().bind(epoch=self.epoch)
         for service, group in record.groups.items():
             state = GroupState.CLOSED if group.changing else GroupState.OPEN
             self.views[service] = GroupView(
--- a/src/burdocksail/authority/_watchdog.py
+++ b/src/burdocksail/authority/_watchdog.py
@@ -5,13 +5,12 @@
 from dataclasses import dataclass, replace
 from enum import Enum
 
-import structlog
-
 from burdocksail.authority._change import ChangeFailed, PrimaryChange
 from burdocksail.authority._follower import find_reached_services
 from burdocksail.authority._leadership import Leadership, LeadershipLost
 from burdocksail.board import Blackboard, GroupState, GroupView
 from burdocksail.catalog import Upstream, UpstreamRole, UpstreamState
+from burdocksail.core import get_logger
 from burdocksail.ports import Connector, Promoter, StoreUnavailable
 
 POLL_INTERVAL = 0.1  # seconds
@@ -80,7 +79,7 @@
         self._running: dict[str, asyncio.Task] = {}
         self._pending: dict[str, PendingCause] = {}
         self._without_primary_since: dict[str, float] = {}
-        self._log = structlog.get_logger()
+        self._log = get_logger()
 
     async def run(self) -> None:
         """Check all groups until the leadership ends."""
--- a/src/burdocksail/board/_metrics.py
+++ b/src/burdocksail/board/_metrics.py
@@ -2,8 +2,10 @@
 
 from collections import Counter
 from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
 
-from hdrh.histogram import HdrHistogram
+if TYPE_CHECKING:
+    from hdrh.histogram import HdrHistogram
 
 LOWEST_MICROSECONDS = 1
 HIGHEST_MICROSECONDS = 60_000_000  # longer than any caller's deadline
@@ -16,7 +18,7 @@
     """Counters and latency histograms (in microseconds), both by name."""
 
     counters: Counter[str] = field(default_factory=Counter)
-    histograms: dict[str, HdrHistogram] = field(default_factory=dict)
+    histograms: dict[str, "HdrHistogram"] = field(default_factory=dict)
 
     def count(self, name: str, amount: int = 1) -> None:
         """Add `amount` to the counter called `name`."""
@@ -29,10 +31,7 @@
         """
         histogram = self.histograms.get(name)
         if histogram is None:
-            histogram = HdrHistogram(
-                LOWEST_MICROSECONDS, HIGHEST_MICROSECONDS, SIGNIFICANT_DIGITS
-            )
-            self.histograms[name] = histogram
+            histogram = self.histograms[name] = _make_histogram()
         microseconds = round(seconds * 1e6)
         histogram.record_value(
             min(max(microseconds, LOWEST_MICROSECONDS), HIGHEST_MICROSECONDS)
@@ -52,3 +51,10 @@
             total = histogram.get_total_count()
             lines.append(f"burdocksail_{name}_seconds_count {total}")
         return "\n".join(lines) + "\n"
+
+
+def _make_histogram() -> "HdrHistogram":
+    # The first use imports it, after the process listens.
+    from hdrh.histogram import HdrHistogram
+
+    return HdrHistogram(LOWEST_MICROSECONDS, HIGHEST_MICROSECONDS, SIGNIFICANT_DIGITS)
--- a/src/burdocksail/catalog/_workspaces.py
+++ b/src/burdocksail/catalog/_workspaces.py
@@ -4,7 +4,6 @@
 """
 
 from dataclasses import dataclass, field
-from hashlib import blake2b
 
 DIGEST_BYTES = 16
 SALT_BYTES = 16
@@ -35,6 +34,9 @@
 
 def digest_key(key: str, salt: bytes) -> str:
     """Return the keyed digest of a caller's key, as hexadecimal digits."""
+    # The first use imports it: it loads libcrypto, which takes 8 ms of processor time.
+    from hashlib import blake2b
+
     payload = key.encode("utf-8", "surrogatepass")
     return blake2b(payload, key=salt, digest_size=DIGEST_BYTES).hexdigest()
 
--- a/src/burdocksail/fleet/_registration.py
+++ b/src/burdocksail/fleet/_registration.py
@@ -4,9 +4,9 @@
 import ipaddress
 
 import msgspec
-import structlog
 
 from burdocksail.board import Blackboard, Member
+from burdocksail.core import get_logger
 from burdocksail.ports import ObjectKind, ObjectStore, StoreConflict, StoreUnavailable
 
 INSTANCE_PREFIX = "instance."
@@ -62,7 +62,7 @@
     def __init__(self, board: Blackboard, store: ObjectStore):
         self._board = board
         self._store = store
-        self._log = structlog.get_logger()
+        self._log = get_logger()
 
     async def maintain(self) -> None:
         """Write the object at start, and again if it is removed or replaced.
--- a/src/burdocksail/fleet/_snapshots.py
+++ b/src/burdocksail/fleet/_snapshots.py
@@ -7,9 +7,8 @@
 import random
 from dataclasses import dataclass
 
-import structlog
-
 from burdocksail.board import Blackboard
+from burdocksail.core import get_logger
 from burdocksail.fleet._codec import Snapshot
 from burdocksail.fleet._peers import Address, Peers
 from burdocksail.fleet._tracking import StoreTracker
@@ -47,7 +46,7 @@
         self._tracker = tracker
         self._peers_ahead: dict[Address, _PeerVersions] = {}
         self._random = random.Random(board.member.incarnation)
-        self._log = structlog.get_logger()
+        self._log = get_logger()
 
     def take(self) -> Snapshot:
         """Return the catalog and upstreams that this instance knows."""
--- a/src/burdocksail/fleet/_tracking.py
+++ b/src/burdocksail/fleet/_tracking.py
@@ -5,8 +5,6 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-import structlog
-
 from burdocksail.board import (
     MAX_MONITORS,
     Blackboard,
@@ -16,6 +14,7 @@
     UnconfirmedEntry,
 )
 from burdocksail.catalog import Upstream, UpstreamState
+from burdocksail.core import get_logger
 from burdocksail.fleet._registration import (
     INSTANCE_PREFIX,
     decode_member,
@@ -120,7 +119,7 @@
         self._removed: dict[str, RemovedInstance] = {}
         self._peer_timeline = 0
         self._watches: dict[ObjectKind, _RunningWatch] = {}
-        self._log = structlog.get_logger()
+        self._log = get_logger()
 
     async def watch_catalog(self) -> None:
         """Watch the configuration, until cancelled."""
--- a/src/burdocksail/serving/_decisions.py
+++ b/src/burdocksail/serving/_decisions.py
@@ -1,8 +1,7 @@
 """Rate-limited log of how requests are routed and answered."""
 
-import structlog
-
 from burdocksail.board import Blackboard
+from burdocksail.core import get_logger
 
 LINES_PER_SECOND = 100  # logging them costs a fraction of a percent of a core
 BURST_LINES = 300
@@ -16,7 +15,7 @@
         self._tokens = float(BURST_LINES)
         self._refilled_at = board.now()
         self._dropped = 0
-        self._log = structlog.get_logger()
+        self._log = get_logger()
 
     def write(self, event: str, request_id: str, **fields: object) -> None:
         """Log a line, or count it as dropped if the rate limit is reached.
--- a/src/burdocksail/serving/_freshness.py
+++ b/src/burdocksail/serving/_freshness.py
@@ -9,11 +9,9 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
-import structlog
-
 from burdocksail.board import Blackboard, GroupState, GroupView, Sample
 from burdocksail.catalog import ReadPolicy, Route
-from burdocksail.core import LogPosition, ResetSession
+from burdocksail.core import LogPosition, ResetSession, get_logger
 from burdocksail.ports import UpstreamLost
 from burdocksail.serving._pools import ConnectionPools, NoConnection
 
@@ -176,7 +174,7 @@
         self._board = board
         self._pools = pools
         self._running: dict[str, asyncio.Task] = {}
-        self._log = structlog.get_logger()
+        self._log = get_logger()
 
     async def run(self) -> None:
         """Probe the primaries of all groups when due, until cancelled.
--- a/src/burdocksail/serving/_pools.py
+++ b/src/burdocksail/serving/_pools.py
@@ -7,11 +7,9 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
-import structlog
-
 from burdocksail.board import Blackboard
 from burdocksail.catalog import Upstream
-from burdocksail.core import BurdocksailError
+from burdocksail.core import BurdocksailError, get_logger
 from burdocksail.ports import (
     ConnectFailed,
     Connector,
@@ -120,7 +118,7 @@
         self._tasks: set[asyncio.Task] = set()
         self._closed = False
         self._random = random.Random(f"{board.member.incarnation}/{upstream.id}")
-        self._log = structlog.get_logger()
+        self._log = get_logger()
 
     @property
     def size(self) -> int:
--- a/src/burdocksail/structs/_codec.py
+++ b/src/burdocksail/structs/_codec.py
@@ -30,16 +30,9 @@
     decode: Converter
 
 
-@dataclass(frozen=True, slots=True)
-class _Thrift:
-    make_buffer: Callable[..., Any]
-    make_transport: Callable[[Any], Any]
-    make_protocol: Callable[[Any], Any]
-
-
 @functools.cache
-def _load_thrift() -> _Thrift:
-    """Return what encodes and decodes the bytes of structs.
+def _load_thrift() -> tuple[Callable[..., Any], ...]:
+    """Return the classes that encode and decode: buffer, transport and protocol.
 
     Importing the thrift library takes 75 ms of processor time. A process listens
     before it does that, with its first message.
@@ -48,7 +41,7 @@
     from thriftpy2.transport import TMemoryBuffer
     from thriftpy2.transport.buffered import TCyBufferedTransport
 
-    return _Thrift(TMemoryBuffer, TCyBufferedTransport, TCyBinaryProtocol)
+    return TMemoryBuffer, TCyBufferedTransport, TCyBinaryProtocol
 
 
 def _identity(value: Any) -> Any:
@@ -105,10 +98,10 @@
 
     def write(self, struct: Any) -> bytes:
         """Return the serialized struct."""
-        thrift = _load_thrift()
-        buffer = thrift.make_buffer()
-        transport = thrift.make_transport(buffer)
-        thrift.make_protocol(transport).write_struct(struct)
+        make_buffer, make_transport, make_protocol = _load_thrift()
+        buffer = make_buffer()
+        transport = make_transport(buffer)
+        make_protocol(transport).write_struct(struct)
         transport.flush()
         return buffer.getvalue()
 
@@ -123,9 +116,9 @@
             If a container announces more elements than there are.
         """
         check_containers(payload)
-        thrift = _load_thrift()
-        transport = thrift.make_transport(thrift.make_buffer(payload))
-        thrift.make_protocol(transport).read_struct(struct)
+        make_buffer, make_transport, make_protocol = _load_thrift()
+        transport = make_transport(make_buffer(payload))
+        make_protocol(transport).read_struct(struct)
         return struct
 
     def _get_encoder(self, record_type: type) -> Converter:
