--- a/src/burdocksail/structs/_codec.py
+++ b/src/burdocksail/structs/_codec.py
@@ -5,7 +5,6 @@
 encoded as microseconds and enumerations as their values.
 """
 
-import functools
 import types
 import typing
 from collections.abc import Callable, Mapping
@@ -16,6 +15,7 @@
 
 from burdocksail.structs._containers import check_containers
 from burdocksail.structs._errors import StructError
+from burdocksail.structs._thrift import load_encoder
 
 Converter = Callable[[Any], Any]
 
@@ -30,20 +30,6 @@
     decode: Converter
 
 
-@functools.cache
-def _load_thrift() -> tuple[Callable[..., Any], ...]:
-    """Return the classes that encode and decode: buffer, transport and protocol.
-
-    Importing the thrift library takes 75 ms of processor time. A process listens
-    before it does that, with its first message.
-    """
-    from thriftpy2.protocol.cybin import TCyBinaryProtocol
-    from thriftpy2.transport import TMemoryBuffer
-    from thriftpy2.transport.buffered import TCyBufferedTransport
-
-    return TMemoryBuffer, TCyBufferedTransport, TCyBinaryProtocol
-
-
 def _identity(value: Any) -> Any:
     return value
 
@@ -98,7 +84,7 @@
 
     def write(self, struct: Any) -> bytes:
         """Return the serialized struct."""
-        make_buffer, make_transport, make_protocol = _load_thrift()
+        make_buffer, make_transport, make_protocol = load_encoder()
         buffer = make_buffer()
         transport = make_transport(buffer)
         make_protocol(transport).write_struct(struct)
@@ -116,7 +102,7 @@
             If a container announces more elements than there are.
         """
         check_containers(payload)
-        make_buffer, make_transport, make_protocol = _load_thrift()
+        make_buffer, make_transport, make_protocol = load_encoder()
         transport = make_transport(make_buffer(payload))
         make_protocol(transport).read_struct(struct)
         return struct
