--- a/src/burdocksail/authority/_controller.py
+++ b/src/burdocksail/authority/_controller.py
@@ -8,14 +8,13 @@
 from collections.abc import Callable
 from typing import Any
 
-import structlog
-
 from burdocksail.authority._claims import Claimant
 from burdocksail.authority._follower import Follower
 from burdocksail.authority._leadership import Leadership
 from burdocksail.authority._record import RecordError, decode_record
 from burdocksail.authority._watchdog import Watchdog
 from burdocksail.board import Blackboard
+from burdocksail.core import get_logger
 from burdocksail.fleet import (
     Address,
     AllowanceGrant,
@@ -83,7 +82,7 @@
             AllowanceRequest: self._handle_allowance_request,
             AllowanceGrant: lambda m, _: receive_allowances(m),
         }
-        self._log = structlog.get_logger()
+        self._log = get_logger()
 
     def is_leading(self) -> bool:
         """Return whether this instance leads, as far as it knows."""
--- a/src/burdocksail/serving/_allowances.py
+++ b/src/burdocksail/serving/_allowances.py
@@ -6,11 +6,9 @@
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 
-import structlog
-
 from burdocksail.board import Blackboard
 from burdocksail.catalog import Workspace
-from burdocksail.core import FailureKind
+from burdocksail.core import FailureKind, get_logger
 from burdocksail.fleet import (
     Address,
     AllowanceDemand,
@@ -183,7 +181,7 @@
         self._limits_key: tuple = ()
         self._flush_scheduled = False
         self._floor_start: float | None = None
-        self._log = structlog.get_logger()
+        self._log = get_logger()
 
     async def run(self) -> None:
         """Renew batches before they are used up, and return tokens; does not return."""
--- a/src/burdocksail/structs/_codec.py
+++ b/src/burdocksail/structs/_codec.py
@@ -13,12 +13,9 @@
 from enum import Enum
 from typing import Any
 
-from thriftpy2.protocol.cybin import TCyBinaryProtocol
-from thriftpy2.transport import TMemoryBuffer
-from thriftpy2.transport.buffered import TCyBufferedTransport
-
 from burdocksail.structs._containers import check_containers
 from burdocksail.structs._errors import StructError
+from burdocksail.structs._thrift import load_encoder
 
 Converter = Callable[[Any], Any]
 
@@ -56,7 +53,7 @@
     Parameters
     ----------
     idl : module
-        Loaded thrift definitions; each struct has the name of its dataclass.
+        Generated structures; each has the name of its dataclass.
     overrides : mapping of (type, str) to FieldCodec
         Custom conversions, by dataclass and field name.
     """
@@ -87,9 +84,10 @@
 
     def write(self, struct: Any) -> bytes:
         """Return the serialized struct."""
-        buffer = TMemoryBuffer()
-        transport = TCyBufferedTransport(buffer)
-        TCyBinaryProtocol(transport).write_struct(struct)
+        make_buffer, make_transport, make_protocol = load_encoder()
+        buffer = make_buffer()
+        transport = make_transport(buffer)
+        make_protocol(transport).write_struct(struct)
         transport.flush()
         return buffer.getvalue()
 
@@ -104,8 +102,9 @@
             If a container announces more elements than there are.
         """
         check_containers(payload)
-        transport = TCyBufferedTransport(TMemoryBuffer(payload))
-        TCyBinaryProtocol(transport).read_struct(struct)
+        make_buffer, make_transport, make_protocol = load_encoder()
+        transport = make_transport(make_buffer(payload))
+        make_protocol(transport).read_struct(struct)
         return struct
 
     def _get_encoder(self, record_type: type) -> Converter:
