Add servers of different sizes, gradual slowing and slow links to load patterns

The learned capacity of servers needs loads to be compared on: a server at a part of its speed at once and gradually, servers of different sizes, equal servers with mixed work, a slow link, a slow instance, and swings between failure domains. The existing patterns play as before.

--- a/src/burdocksail/experiments/_patterns.py
+++ b/src/burdocksail/experiments/_patterns.py
@@ -21,7 +21,8 @@
 
     BURST = "burst"  # more requests of one class
     SHIFT = "shift"  # the callers of one failure domain come to another
-    SLOW = "slow"  # a server runs everything slower
+    SLOW = "slow"  # a server runs everything slower, at once or gradually
+    SLOW_LINK = "slow_link"  # messages between instances and servers take longer
     SHED = "shed"  # a server has a shorter queue
     FAIL = "fail"  # a server fails a share of its statements
     SILENT = "silent"  # a server leaves a share of its statements unanswered
@@ -36,9 +37,16 @@
 
 
 class ServerPattern(_Model):
-    """Servers of the one service; each has the same capacity.
+    """Servers of the one service; each has the same capacity unless said otherwise.
 
-    `handshake` and `lag` are in seconds.
+    Attributes
+    ----------
+    handshake, lag : float
+        In seconds.
+    slots_by_server : tuple of int
+        Slots of the servers in order; `slots` for those beyond its end.
+    slow_factors : tuple of float
+        Usual factors on the run times of the servers in order; 1 beyond its end.
     """
 
     count: int = Field(default=3, ge=1)
@@ -47,6 +55,8 @@
     max_connections: int = Field(default=32, ge=1)
     handshake: float = Field(default=0.012, ge=0)
     lag: float = Field(default=0.02, ge=0)
+    slots_by_server: tuple[int, ...] = ()
+    slow_factors: tuple[float, ...] = ()
 
 
 class RequestClass(_Model):
@@ -79,7 +89,11 @@
     value : float
         Factor, share, queue length or lag, as the kind needs it.
     target : str
-        Class, failure domain or server that it concerns, as the kind needs it.
+        Class, failure domain or server that it concerns, as the kind needs it; for
+        a slow link ``instance/server``, with ``*`` for all.
+    over : float
+        Seconds over which a server becomes slow, and over which it recovers; 0 for
+        at once.
     """
 
     kind: EventKind
@@ -87,6 +101,7 @@
     duration: float = Field(default=0.0, ge=0)
     value: float = 0.0
     target: str = ""
+    over: float = Field(default=0.0, ge=0)
 
 
 class Pattern(_Model):
--- a/src/burdocksail/experiments/_playback.py
+++ b/src/burdocksail/experiments/_playback.py
@@ -20,6 +20,7 @@
 
 SETTLE_TIME = 2.0  # seconds between the start of the fleet and the first request
 NO_INSTANCE_DELAY = 0.25  # seconds until a caller without an instance tries again
+GRADUAL_STEP = 0.05  # seconds between changes of a figure that changes gradually
 RETRYABLE = frozenset({FailureKind.BUSY, FailureKind.ABORTED})
 
 
@@ -95,11 +96,13 @@
         fleet = self._fleet
         server = self._pattern.server
         await fleet.start(self._pattern.instances, server.count, self._make_catalog())
+        slots = itertools.chain(server.slots_by_server, itertools.repeat(server.slots))
+        factors = itertools.chain(server.slow_factors, itertools.repeat(1.0))
         for memory_server in fleet.database.servers.values():
             memory_server.lag = server.lag
             memory_server.max_connections = server.max_connections
             memory_server.capacity = ServerCapacity(
-                server.slots, server.queue, server.handshake
+                next(slots), server.queue, server.handshake, next(factors)
             )
         await asyncio.sleep(SETTLE_TIME)
         self._started_at = asyncio.get_running_loop().time()
@@ -241,6 +244,33 @@
         await asyncio.sleep(event.duration)
         setattr(capacity, name, usual)
 
+    async def _slow(self, event: Event) -> None:
+        """Slow a server down for the duration of the event, and let it recover."""
+        capacity = self._fleet.database.servers[event.target].capacity
+        usual = capacity.slow_factor
+        await self._move_slow_factor(capacity, usual * event.value, event.over)
+        await asyncio.sleep(event.duration - event.over)
+        await self._move_slow_factor(capacity, usual, event.over)
+
+    async def _move_slow_factor(
+        self, capacity: ServerCapacity, factor: float, over: float
+    ) -> None:
+        """Change the slow factor, by the same ratio in each step."""
+        steps = max(1, round(over / GRADUAL_STEP))
+        ratio = (factor / capacity.slow_factor) ** (1 / steps)
+        for _ in range(steps - 1):
+            capacity.slow_factor *= ratio
+            await asyncio.sleep(GRADUAL_STEP)
+        capacity.slow_factor = factor
+
+    async def _slow_link(self, event: Event) -> None:
+        """Delay each message between an instance and a server by `value` seconds."""
+        instance, _, server = event.target.partition("/")
+        delays = self._fleet.database.link_delays
+        delays[instance, server] = event.value
+        await asyncio.sleep(event.duration)
+        del delays[instance, server]
+
     async def _lag(self, event: Event) -> None:
         replicas = [
             s for s in self._fleet.database.servers.values() if not s.is_primary
@@ -276,7 +306,6 @@
 
 
 _CAPACITY_FIELDS = {
-    EventKind.SLOW: "slow_factor",
     EventKind.SHED: "queue",
     EventKind.FAIL: "failing_share",
     EventKind.SILENT: "silent_share",
@@ -284,7 +313,8 @@
 _EVENT_PLAYERS: dict[EventKind, Callable[[_Player, Event], Coroutine]] = {
     EventKind.BURST: _Player._burst,
     EventKind.SHIFT: _Player._shift,
-    EventKind.SLOW: _Player._change_capacity,
+    EventKind.SLOW: _Player._slow,
+    EventKind.SLOW_LINK: _Player._slow_link,
     EventKind.SHED: _Player._change_capacity,
     EventKind.FAIL: _Player._change_capacity,
     EventKind.SILENT: _Player._change_capacity,
--- a/src/burdocksail/fakes/_servers.py
+++ b/src/burdocksail/fakes/_servers.py
@@ -34,6 +34,7 @@
 
 REPLICATION_INTERVAL = 0.02  # seconds
 PROMOTE_DELAY = 0.3  # seconds
+HOP_DELAY = 0.002  # seconds, one way between an instance and a server
 DEMOTION_DELAY = 1.0  # seconds until an old primary that reaches the new one steps down
 
 
@@ -148,6 +149,9 @@
         Service and fencing token of each order to promote.
     lose_promotion_answers : bool
         Whether orders to promote are carried out but not confirmed.
+    link_delays : dict of (str, str) to float
+        Seconds added to each message between an instance and a server; "*" stands
+        for all.
     """
 
     def __init__(self) -> None:
@@ -157,12 +161,20 @@
         self.rolled_back: set[LogPosition] = set()
         self.fencing_tokens: list[tuple[str, int]] = []
         self.lose_promotion_answers = False
+        self.link_delays: dict[tuple[str, str], float] = {}
         self._read_ids = itertools.count()
 
     def of_service(self, service: str) -> list[MemoryServer]:
         """Return the servers of a service."""
         return [s for s in self.servers.values() if s.service == service]
 
+    def hop_delay(self, instance: str, server: str) -> float:
+        """Return the seconds that a message between an instance and a server takes."""
+        if not self.link_delays:
+            return HOP_DELAY
+        keys = itertools.product((instance, "*"), (server, "*"))
+        return HOP_DELAY + sum(self.link_delays.get(key, 0.0) for key in keys)
+
     def current_primary(self, service: str) -> MemoryServer:
         """Return the server that was promoted last, else the first primary."""
         promoted = [p[2] for p in self.promotions if p[1] == service]
@@ -324,7 +336,9 @@
         return await self.inspect(timeout)
 
     async def _simulate_network_hop(self, timeout: float) -> None:
-        await asyncio.sleep(0.002)  # seconds, one way
+        await asyncio.sleep(
+            self._database.hop_delay(self.instance, self._server.upstream_id)
+        )
         if not self._open:
             raise UpstreamLost("closed", [])
         if not self._server.is_reachable_from(self.instance):
