Choose servers for reads by their learned speed at the same kind of work

The average latency of a server mixed work of 7 to 55 ms, and so said as much of the work that it got as of the server. Run times are now compared with those of the peers at the same route, without the round trip, and a difference counts only beyond what chance explains. The estimate fades within seconds, so that a server that may have recovered is tried again. Work in flight that is overdue counts before it is answered.

A statement for the primary that would not be answered in the time left is rejected at once, since it would most likely end with unknown outcome.

The test with a server that leaves statements unanswered compared with a form that still moved reads away from a server with overdue work; it now compares with one that does not.

--- a/src/burdocksail/experiments/_patterns.py
+++ b/src/burdocksail/experiments/_patterns.py
@@ -105,13 +105,20 @@
 
 
 class Pattern(_Model):
-    """A load pattern; `duration` is in seconds."""
+    """A load pattern; `duration` is in seconds.
+
+    Attributes
+    ----------
+    distance : float
+        Seconds that a message takes longer between failure domains, one way.
+    """
 
     name: str
     description: str
     duration: float = Field(gt=0, le=600)
     instances: int = Field(default=6, ge=1, le=64)
     retries: int = Field(default=2, ge=0)
+    distance: float = Field(default=0.0, ge=0)
     server: ServerPattern = ServerPattern()
     classes: tuple[RequestClass, ...] = Field(min_length=1)
     events: tuple[Event, ...] = ()
--- a/src/burdocksail/experiments/_playback.py
+++ b/src/burdocksail/experiments/_playback.py
@@ -104,6 +104,7 @@
             memory_server.capacity = ServerCapacity(
                 next(slots), server.queue, server.handshake, next(factors)
             )
+        self._set_distances()
         await asyncio.sleep(SETTLE_TIME)
         self._started_at = asyncio.get_running_loop().time()
         try:
@@ -120,6 +121,14 @@
             for request_class in self._pattern.classes:
                 group.create_task(self._generate(request_class, group))
 
+    def _set_distances(self) -> None:
+        fleet = self._fleet
+        for name, instance in fleet.instances.items():
+            for server in fleet.database.servers.values():
+                if instance.board.member.failure_domain != server.failure_domain:
+                    delay = self._pattern.distance
+                    fleet.database.link_delays[name, server.upstream_id] = delay
+
     def _make_catalog(self) -> Catalog:
         server = self._pattern.server
         routes = {
@@ -267,9 +276,10 @@
         """Delay each message between an instance and a server by `value` seconds."""
         instance, _, server = event.target.partition("/")
         delays = self._fleet.database.link_delays
-        delays[instance, server] = event.value
+        usual = delays.get((instance, server), 0.0)
+        delays[instance, server] = usual + event.value
         await asyncio.sleep(event.duration)
-        del delays[instance, server]
+        delays[instance, server] = usual
 
     async def _lag(self, event: Event) -> None:
         replicas = [
--- a/src/burdocksail/fakes/_servers.py
+++ b/src/burdocksail/fakes/_servers.py
@@ -283,6 +283,7 @@
         self.variables: dict[str, str] = {}
         self.prepared: dict[str, tuple[str, bool]] = {}
         self.position: LogPosition | None = server.position
+        self.round_trip = 2 * database.hop_delay(instance, server.upstream_id)
         server.connections[self] = None
 
     @property
--- a/src/burdocksail/fakes/world_test.py
+++ b/src/burdocksail/fakes/world_test.py
@@ -104,9 +104,9 @@
 
         original = _exchange.exchange
 
-        async def exchange(board, pool, connection, session, statement, *rest):
-            await original(board, pool, connection, session, statement, *rest)
-            return await original(board, pool, connection, session, statement, *rest)
+        async def exchange(*arguments):
+            await original(*arguments)
+            return await original(*arguments)
 
         with mock.patch.object(_statements, "exchange", exchange):
             self.assert_detected("took effect twice")
--- a/src/burdocksail/ports/_upstreams.py
+++ b/src/burdocksail/ports/_upstreams.py
@@ -99,6 +99,14 @@
         """Return whether the connection is usable, as far as is known."""
         ...
 
+    @property
+    def round_trip(self) -> float:
+        """Return the seconds of a message there and back, measured when connecting.
+
+        0 if they could not be measured.
+        """
+        ...
+
     async def run(
         self,
         commands: Sequence[UpstreamCommand],
--- a/src/burdocksail/serving/_choice.py
+++ b/src/burdocksail/serving/_choice.py
@@ -99,9 +99,7 @@
         if floor is None:
             _, pool = await wait_for_primary(request)
             return pool
-        ranked = rank_servers(
-            board, request.serving.pools, request.route.service, floor
-        )
+        ranked = rank_servers(request.serving, request.route, floor)
         untried = [u for u in ranked if u.id not in request.tried_ids]
         if untried:
             return request.serving.pools.get(untried[0])
--- a/src/burdocksail/serving/_context.py
+++ b/src/burdocksail/serving/_context.py
@@ -1,6 +1,7 @@
 """State of a caller's session, and what all sessions of an instance share."""
 
 import random
+from collections import defaultdict
 from dataclasses import dataclass, field
 
 from burdocksail.board import Blackboard
@@ -8,7 +9,12 @@
 from burdocksail.serving._decisions import DecisionLog
 from burdocksail.serving._freshness import SessionCommits
 from burdocksail.serving._pools import ConnectionPools
-from burdocksail.traffic import Obstacle, RetryBudget, compute_retry_after
+from burdocksail.traffic import (
+    Obstacle,
+    RetryBudget,
+    WorkTimes,
+    compute_retry_after,
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,6 +56,8 @@
         Transactions that hold an upstream connection.
     retry_budget : RetryBudget
         Limits the retries of this instance.
+    work_times : dict of str to WorkTimes
+        How long work takes, by service.
     random : random.Random
         Spreads retries of this instance and returns of its callers.
     """
@@ -60,6 +68,7 @@
         self.decisions = DecisionLog(board)
         self.open_transactions = 0
         self.retry_budget = RetryBudget()
+        self.work_times: defaultdict[str, WorkTimes] = defaultdict(WorkTimes)
         self.random = random.Random(f"{board.member.incarnation}/serving")
 
     def find_route(self, database: str) -> Route | None:
--- a/src/burdocksail/serving/_exchange.py
+++ b/src/burdocksail/serving/_exchange.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from burdocksail.board import Blackboard
+from burdocksail.catalog import Route
 from burdocksail.core import (
     Begin,
     Commit,
@@ -15,14 +15,16 @@
     UpstreamCommand,
 )
 from burdocksail.ports import Reply, ReplyStatus, UpstreamLost
-from burdocksail.serving._context import SessionState
+from burdocksail.serving._context import ServingContext, SessionState
 from burdocksail.serving._pools import Pool, PooledConnection
+from burdocksail.serving._work import find_kind, record_run_time
 
 Statement = Run | ExecutePrepared | Begin | Commit
 
 
 async def exchange(
-    board: Blackboard,
+    serving: ServingContext,
+    route: Route,
     pool: Pool,
     connection: PooledConnection,
     session: SessionState,
@@ -56,21 +58,28 @@
     """
     commands, update_connection = _build_commands(connection, session, statement)
     statistics = pool.statistics
-    statistics.in_flight += 1
+    board = serving.board
+    work_times = serving.work_times[route.service]
+    kind = find_kind(route, session, statement)
     started_at = board.now()
+    pending = statistics.pending.add(work_times.estimate(kind), started_at)
     try:
         replies = await connection.connection.run(commands, timeout, floor)
     except UpstreamLost:
         statistics.health.record(failed=True)
         raise
     finally:
-        statistics.in_flight -= 1
+        statistics.pending.remove(pending)
     update_connection()
     reply = replies[-1]
     if any(r.status is not ReplyStatus.DONE for r in replies[:-1]):
         connection.close()
         raise UpstreamLost("the session could not be set up", replies[:-1])
-    statistics.record_latency(board.now() - started_at)
+    now = board.now()
+    statistics.record_latency(now - started_at)
+    statistics.round_trip = connection.connection.round_trip
+    if reply.status is ReplyStatus.DONE and kind is not None:
+        record_run_time(serving, route.service, kind, pool, now - started_at)
     pool.record_reply(reply.status)
     if reply.status is ReplyStatus.UNKNOWN_STATEMENT:
         # The server no longer knows the statements prepared on this connection; a
--- a/src/burdocksail/serving/_pools.py
+++ b/src/burdocksail/serving/_pools.py
@@ -421,13 +421,12 @@
         for pool in self._pools.values():
             pool.close()
 
-    def describe(self) -> dict[str, dict[str, float | int]]:
-        """Return size, statements in flight and latency of each pool for the dump."""
+    def describe(self) -> dict[str, dict[str, float | int | None]]:
+        """Return size and statistics of each pool for the dump."""
         return {
             upstream_id: {
                 "size": pool.size,
-                "in_flight": pool.statistics.in_flight,
-                "latency_ms": round(pool.statistics.latency * 1000, 2),
+                **pool.statistics.describe(self._board.now()),
             }
             for upstream_id, pool in self._pools.items()
         }
--- a/src/burdocksail/serving/_routing.py
+++ b/src/burdocksail/serving/_routing.py
@@ -1,21 +1,19 @@
 """Collects what is known about the servers that may run a read, and ranks them."""
 
 from burdocksail.board import Blackboard
-from burdocksail.catalog import Upstream, UpstreamState
+from burdocksail.catalog import Route, Upstream, UpstreamState
+from burdocksail.serving._context import ServingContext
 from burdocksail.serving._freshness import Floor
-from burdocksail.serving._pools import ConnectionPools
 from burdocksail.traffic import ServerLoad, find_ejected, rank_by_cost
 
-# Assumed round trips in seconds, by distance. They rank servers until latencies have
-# been measured, and stay part of the cost afterwards.
+# Assumed round trips in seconds, by distance. They are part of the cost beside the
+# measured ones, so that reads stay near.
 SAME_DOMAIN_ROUND_TRIP = 0.0005
 SAME_REGION_ROUND_TRIP = 0.003
 OTHER_REGION_ROUND_TRIP = 0.03
 
 
-def rank_servers(
-    board: Blackboard, pools: ConnectionPools, service: str, floor: Floor
-) -> list[Upstream]:
+def rank_servers(serving: ServingContext, route: Route, floor: Floor) -> list[Upstream]:
     """Return the servers that are ready to run a read, lowest cost first.
 
     Parameters
@@ -25,6 +23,7 @@
         applied it refuses the read, so one that is known to lag is left out unless
         no server is left.
     """
+    board, pools, service = serving.board, serving.pools, route.service
     view = board.authority.groups.get(service)
     primary_id = None if view is None else view.primary_id
     ready = {
@@ -34,8 +33,9 @@
     }
     healths = {name: pools.get(u).statistics.health for name, u in ready.items()}
     ejected = find_ejected(healths, board.now())
+    run_time = serving.work_times[service].estimate((route.name, False))
     loads = [
-        _describe_load(board, pools, upstream, primary_id, floor, ejected)
+        _describe_load(serving, upstream, primary_id, floor, run_time, ejected)
         for upstream in ready.values()
     ]
     return [ready[name] for name in rank_by_cost(loads)]
@@ -52,23 +52,26 @@
 
 
 def _describe_load(
-    board: Blackboard,
-    pools: ConnectionPools,
+    serving: ServingContext,
     upstream: Upstream,
     primary_id: str | None,
     floor: Floor,
+    run_time: float,
     ejected: set[str],
 ) -> ServerLoad:
+    board = serving.board
     now = board.now()
-    statistics = pools.get(upstream).statistics
+    statistics = serving.pools.get(upstream).statistics
     is_primary = upstream.id == primary_id
     return ServerLoad(
         id=upstream.id,
-        round_trip=estimate_round_trip(board, upstream),
-        latency=statistics.latency,
-        in_flight=statistics.in_flight,
+        round_trip=estimate_round_trip(board, upstream) + statistics.round_trip,
+        run_time=run_time,
+        pending=statistics.pending.seconds,
+        slow_factor=statistics.compute_slow_factor(now),
         is_primary=is_primary,
         may_cover=is_primary or statistics.lag.may_cover(floor.compute_age(now), now),
-        is_avoided=now < statistics.avoid_until,
+        is_avoided=now < statistics.avoid_until
+        or not statistics.concurrency.allows(len(statistics.pending)),
         is_ejected=upstream.id in ejected,
     )
--- a/src/burdocksail/serving/_statements.py
+++ b/src/burdocksail/serving/_statements.py
@@ -23,7 +23,10 @@
     record_connection_failure,
     record_coverage,
     record_failed_attempt,
+    reject,
 )
+from burdocksail.serving._work import estimate_answer_time, find_kind
+from burdocksail.traffic import Obstacle
 
 FIRST_ATTEMPT_SHARE = 0.4  # of the statement timeout, for the first attempt of a read
 
@@ -92,7 +95,8 @@
     asked_at = board.now()
     try:
         reply = await exchange(
-            board,
+            request.serving,
+            request.route,
             pool,
             connection,
             request.session,
@@ -166,13 +170,21 @@
     if board.get_view_for_new_work(service) != view:
         pool.release(connection)
         return None
+    kind = find_kind(request.route, request.session, request.command)
+    expected = estimate_answer_time(request.serving, service, kind, pool)
+    if expected > request.time_left:
+        # Sent now, it would most likely time out, and a write with unknown outcome.
+        pool.release(connection)
+        request.expected_wait = expected
+        raise reject(request, "too little time left", Obstacle.OVERLOAD)
     in_flight = board.authority.in_flight
     in_flight[service] = in_flight.get(service, 0) + 1
     request.was_sent = True
     asked_at = board.now()
     try:
         reply = await exchange(
-            board,
+            request.serving,
+            request.route,
             pool,
             connection,
             request.session,
--- a/src/burdocksail/serving/_statistics.py
+++ b/src/burdocksail/serving/_statistics.py
@@ -2,7 +2,14 @@
 
 from dataclasses import dataclass, field
 
-from burdocksail.traffic import ConcurrencyLimit, LagEstimate, ServerHealth
+from burdocksail.traffic import (
+    ConcurrencyLimit,
+    KneeEstimate,
+    LagEstimate,
+    PendingWork,
+    ServerHealth,
+    SpeedEstimate,
+)
 
 LATENCY_WEIGHT = 0.1  # of the newest sample in the moving average
 
@@ -15,10 +22,21 @@
     ----------
     latency : float
         Moving average of round trips in seconds.
-    in_flight : int
+    round_trip : float
+        Seconds of a message there and back, as measured when the connection was opened
+        that was used last.
+    pending : PendingWork
         Statements that have been sent and not answered.
+    speed : SpeedEstimate
+        How fast the server is, compared with the others of its service.
+    reported_slow : bool
+        Whether the log says that it is slower than its peers.
+    next_report_at : float
+        Clock reading before which the log says nothing more of its speed.
     avoid_until : float
         Clock reading until which routing prefers other servers after a failure.
+    knee : KneeEstimate
+        Whether its answers become longer under load.
     lag : LagEstimate
         Which floors the server was behind.
     health : ServerHealth
@@ -28,12 +46,36 @@
     """
 
     latency: float = 0.03  # seconds; assumed before the first reply
-    in_flight: int = 0
+    round_trip: float = 0.0
+    pending: PendingWork = field(default_factory=PendingWork)
+    speed: SpeedEstimate = field(default_factory=SpeedEstimate)
     avoid_until: float = float("-inf")
+    reported_slow: bool = False
+    next_report_at: float = float("-inf")
+    knee: KneeEstimate = field(default_factory=KneeEstimate)
     lag: LagEstimate = field(default_factory=LagEstimate)
     health: ServerHealth = field(default_factory=ServerHealth)
     concurrency: ConcurrencyLimit = field(default_factory=ConcurrencyLimit)
 
+    def compute_slow_factor(self, now: float) -> float:
+        """Return the factor on run times at the server, 1 as far as is known."""
+        return max(
+            self.speed.compute_factor(now), self.pending.compute_least_factor(now)
+        )
+
+    def describe(self, now: float) -> dict[str, float | int | None]:
+        """Return what has been learned of the server, for the dump."""
+        limit = self.concurrency.limit
+        return {
+            "in_flight": len(self.pending),
+            "latency_ms": round(self.latency * 1000, 2),
+            "round_trip_ms": round(self.round_trip * 1000, 2),
+            "slow_factor": round(self.compute_slow_factor(now), 2),
+            "slow_factor_samples": round(self.speed.compute_weight(now), 1),
+            "limit": None if limit is None else round(limit, 1),
+            "is_delayed": self.concurrency.is_delayed,
+        }
+
     def record_latency(self, seconds: float) -> None:
         """Add a reply's latency, in seconds, to the moving average."""
         self.latency += LATENCY_WEIGHT * (seconds - self.latency)
--- a/src/burdocksail/serving/_transactions.py
+++ b/src/burdocksail/serving/_transactions.py
@@ -203,7 +203,8 @@
         begin = Begin("", self._read_only)
         try:
             reply = await exchange(
-                board,
+                self._serving,
+                self._route,
                 pool,
                 connection,
                 self._session,
@@ -257,7 +258,8 @@
         timeout = max(MIN_TIMEOUT, deadline - self._board.now())
         try:
             return await exchange(
-                self._board,
+                self._serving,
+                self._route,
                 binding.pool,
                 binding.connection,
                 self._session,
@@ -297,7 +299,13 @@
         timeout = max(MIN_TIMEOUT, deadline - self._board.now())
         try:
             reply = await exchange(
-                self._board, pool, connection, self._session, command, timeout
+                self._serving,
+                self._route,
+                pool,
+                connection,
+                self._session,
+                command,
+                timeout,
             )
         except UpstreamLost as error:
             self._unbind()
--- a/src/burdocksail/traffic/__init__.py
+++ b/src/burdocksail/traffic/__init__.py
@@ -8,21 +8,30 @@
 from burdocksail.traffic._backoff import RetryBudget, compute_backoff
 from burdocksail.traffic._concurrency import ConcurrencyLimit
 from burdocksail.traffic._ejection import ServerHealth, find_ejected
+from burdocksail.traffic._knee import KneeEstimate
 from burdocksail.traffic._lag import LagEstimate
 from burdocksail.traffic._opening import OpeningWindow
+from burdocksail.traffic._pending import PendingWork
 from burdocksail.traffic._placement import ServerLoad, rank_by_cost
 from burdocksail.traffic._rejection import Obstacle, compute_retry_after
+from burdocksail.traffic._speed import SpeedEstimate
 from burdocksail.traffic._waiting import DrainRate, compute_order
+from burdocksail.traffic._work import Comparison, WorkTimes
 
 __all__ = [
+    "Comparison",
     "ConcurrencyLimit",
     "DrainRate",
+    "KneeEstimate",
     "LagEstimate",
     "Obstacle",
     "OpeningWindow",
+    "PendingWork",
     "RetryBudget",
     "ServerHealth",
     "ServerLoad",
+    "SpeedEstimate",
+    "WorkTimes",
     "compute_backoff",
     "compute_order",
     "compute_retry_after",
--- a/src/burdocksail/traffic/_placement.py
+++ b/src/burdocksail/traffic/_placement.py
@@ -1,8 +1,8 @@
 """Which server runs a read.
 
-Load patterns: a server that is slow or far away among faster ones; a server that
-has just failed or was full; a server that loses part of its work while its health
-check is good.
+Load patterns: a server that is slow or far away among faster ones; short and long
+work at the same servers; a server that has just failed or was full; a server that
+loses part of its work while its health check is good.
 """
 
 from collections.abc import Iterable
@@ -22,11 +22,14 @@
     Attributes
     ----------
     round_trip : float
-        Assumed seconds for a message there and back, by distance.
-    latency : float
-        Average seconds from a statement to its reply, including the round trip.
-    in_flight : int
-        Statements of this instance that the server has not answered.
+        Seconds for a message there and back.
+    run_time : float
+        Seconds that the read usually takes at servers of the service.
+    pending : float
+        Seconds that the statements of this instance usually take that the server has
+        not answered.
+    slow_factor : float
+        Learned factor on run times at this server.
     may_cover : bool
         Whether the server may have applied the floor of the read.
     is_avoided : bool
@@ -37,8 +40,9 @@
 
     id: str
     round_trip: float
-    latency: float
-    in_flight: int = 0
+    run_time: float
+    pending: float = 0.0
+    slow_factor: float = 1.0
     is_primary: bool = False
     may_cover: bool = True
     is_avoided: bool = False
@@ -59,7 +63,7 @@
     """Return the expected seconds until the reply, penalties included."""
     return (
         load.round_trip
-        + load.latency * (1 + load.in_flight)
+        + load.slow_factor * (load.run_time + load.pending)
         + PRIMARY_PENALTY * load.is_primary
         + AVOIDED_PENALTY * load.is_avoided
         + EJECTED_PENALTY * load.is_ejected
--- a/src/burdocksail/traffic/decisions_test.py
+++ b/src/burdocksail/traffic/decisions_test.py
@@ -148,7 +148,7 @@
     def test_ejected_and_avoided_servers_come_last(self):
         ejected = ServerLoad("ejected", 0.001, 0.01, is_ejected=True)
         avoided = ServerLoad("avoided", 0.001, 0.01, is_avoided=True)
-        loaded = ServerLoad("loaded", 0.03, 0.03, in_flight=5)
+        loaded = ServerLoad("loaded", 0.03, 0.03, pending=0.15)
         ranked = rank_by_cost([ejected, avoided, loaded])
         self.assertEqual(ranked, ["loaded", "avoided", "ejected"])
 
--- a/src/burdocksail/traffic/replays_test.py
+++ b/src/burdocksail/traffic/replays_test.py
@@ -15,6 +15,7 @@
 from burdocksail.experiments import Summary, merge_summaries, play, read_pattern
 from burdocksail.fakes import _servers, silence_logs
 from burdocksail.serving import _context, _requests, _routing
+from burdocksail.serving._statistics import ServerStatistics
 from burdocksail.traffic import (
     ConcurrencyLimit,
     LagEstimate,
@@ -133,7 +134,10 @@
     def test_server_that_leaves_statements_unanswered_gets_fewer(self):
         """Each statement there costs its caller the timeout of the first attempt."""
         decided = self.count_slow_requests("silent-server")
-        with mock.patch.object(_routing, "find_ejected", lambda *_: set()):
+        with (
+            mock.patch.object(_routing, "find_ejected", lambda *_: set()),
+            mock.patch.object(ServerStatistics, "compute_slow_factor", lambda *_: 1.0),
+        ):
             naive = self.count_slow_requests("silent-server")
         self.assertLess(decided, 0.9 * naive)
 
