--- a/src/burdocksail/serving/_exchange.py
+++ b/src/burdocksail/serving/_exchange.py
@@ -59,10 +59,10 @@
     commands, update_connection = _build_commands(connection, session, statement)
     statistics = pool.statistics
     board = serving.board
-    work_times = serving.work_times[route.service]
     kind = find_kind(route, session, statement)
     started_at = board.now()
-    pending = statistics.pending.add(work_times.estimate(kind), started_at)
+    usual = serving.work_times[route.service].estimate(kind)
+    pending = statistics.pending.add(usual, started_at)
     try:
         replies = await connection.connection.run(commands, timeout, floor)
     except UpstreamLost:
@@ -79,7 +79,7 @@
     statistics.record_latency(now - started_at)
     statistics.round_trip = connection.connection.round_trip
     if reply.status is ReplyStatus.DONE and kind is not None:
-        record_run_time(serving, route.service, kind, pool, now - started_at)
+        record_run_time(serving, route.service, kind, pool, now - started_at, usual)
     pool.record_reply(reply.status)
     if reply.status is ReplyStatus.UNKNOWN_STATEMENT:
         # The server no longer knows the statements prepared on this connection; a
--- a/src/burdocksail/serving/_routing.py
+++ b/src/burdocksail/serving/_routing.py
@@ -71,7 +71,6 @@
         slow_factor=statistics.compute_slow_factor(now),
         is_primary=is_primary,
         may_cover=is_primary or statistics.lag.may_cover(floor.compute_age(now), now),
-        is_avoided=now < statistics.avoid_until
-        or not statistics.concurrency.allows(len(statistics.pending)),
+        is_avoided=now < statistics.avoid_until or statistics.is_held_back,
         is_ejected=upstream.id in ejected,
     )
--- a/src/burdocksail/serving/_statistics.py
+++ b/src/burdocksail/serving/_statistics.py
@@ -57,6 +57,12 @@
     health: ServerHealth = field(default_factory=ServerHealth)
     concurrency: ConcurrencyLimit = field(default_factory=ConcurrencyLimit)
 
+    @property
+    def is_held_back(self) -> bool:
+        """Return whether the server has as much work as it takes without delay."""
+        limit = self.concurrency
+        return limit.is_delayed and not limit.allows(len(self.pending))
+
     def compute_slow_factor(self, now: float) -> float:
         """Return the factor on run times at the server, 1 as far as is known."""
         return max(
--- a/src/burdocksail/serving/_work.py
+++ b/src/burdocksail/serving/_work.py
@@ -38,7 +38,12 @@
 
 
 def record_run_time(
-    serving: ServingContext, service: str, kind: Kind, pool: Pool, seconds: float
+    serving: ServingContext,
+    service: str,
+    kind: Kind,
+    pool: Pool,
+    seconds: float,
+    usual: float,
 ) -> None:
     """Record the time from a statement to its reply.
 
@@ -46,22 +51,24 @@
     ----------
     seconds : float
         Includes the round trip, which is left out of the run time.
+    usual : float
+        Usual run time of that kind of work.
     """
     now = serving.board.now()
     statistics = pool.statistics
-    work_times = serving.work_times[service]
     run_time = seconds - statistics.round_trip
-    length = run_time / work_times.estimate(kind)
-    statistics.knee.record(math.log(max(length, MIN_LENGTH)), now)
+    statistics.knee.record(math.log(max(run_time / usual, MIN_LENGTH)), now)
+    comparison = serving.work_times[service].record(
+        kind, _identify(pool.upstream), run_time, now
+    )
+    if comparison is not None:
+        statistics.speed.record(comparison, now)
+    factor = statistics.speed.compute_factor(now)
+    _report_change(serving, pool, factor)
     # The statement itself has been answered and is no longer among the pending ones.
     in_flight = len(statistics.pending) + 1
-    factor = statistics.speed.compute_factor(now)
-    is_delayed = statistics.knee.is_exceeded and factor >= SLOW_FACTOR
+    is_delayed = factor >= SLOW_FACTOR and statistics.knee.is_exceeded
     statistics.concurrency.record_delay(is_delayed, in_flight, now)
-    comparison = work_times.record(kind, _identify(pool.upstream), run_time, now)
-    if comparison is not None:
-        statistics.speed.record(comparison, now)
-        _report_change(serving, pool, factor)
 
 
 def estimate_answer_time(
