--- a/src/burdocksail/experiments/_patterns.py
+++ b/src/burdocksail/experiments/_patterns.py
@@ -22,7 +22,8 @@
     BURST = "burst"  # more requests of one class
     HOT = "hot"  # more requests of one workspace
     SHIFT = "shift"  # the callers of one failure domain come to another
-    SLOW = "slow"  # a server runs everything slower
+    SLOW = "slow"  # a server runs everything slower, at once or gradually
+    SLOW_LINK = "slow_link"  # messages between instances and servers take longer
     SHED = "shed"  # a server has a shorter queue
     FAIL = "fail"  # a server fails a share of its statements
     SILENT = "silent"  # a server leaves a share of its statements unanswered
@@ -37,9 +38,16 @@
 
 
 class ServerPattern(_Model):
-    """Servers of the one service; each has the same capacity.
+    """Servers of the one service; each has the same capacity unless said otherwise.
 
-    `handshake` and `lag` are in seconds.
+    Attributes
+    ----------
+    handshake, lag : float
+        In seconds.
+    slots_by_server : tuple of int
+        Slots of the servers in order; `slots` for those beyond its end.
+    slow_factors : tuple of float
+        Usual factors on the run times of the servers in order; 1 beyond its end.
     """
 
     count: int = Field(default=3, ge=1)
@@ -48,6 +56,8 @@
     max_connections: int = Field(default=32, ge=1)
     handshake: float = Field(default=0.012, ge=0)
     lag: float = Field(default=0.02, ge=0)
+    slots_by_server: tuple[int, ...] = ()
+    slow_factors: tuple[float, ...] = ()
 
 
 class WorkspacesPattern(_Model):
@@ -102,7 +112,10 @@
         Factor, share, queue length or lag, as the kind needs it.
     target : str
         Class, workspace, failure domain or server that it concerns, as the kind
-        needs it.
+        needs it; for a slow link ``instance/server``, with ``*`` for all.
+    over : float
+        Seconds over which a server becomes slow, and over which it recovers; 0 for
+        at once.
     """
 
     kind: EventKind
@@ -110,12 +123,18 @@
     duration: float = Field(default=0.0, ge=0)
     value: float = 0.0
     target: str = ""
+    over: float = Field(default=0.0, ge=0)
 
 
 class Pattern(_Model):
     """A load pattern; `duration` is in seconds.
 
-    `workspaces` is None if the configuration separates none.
+    Attributes
+    ----------
+    workspaces : WorkspacesPattern or None
+        None if the configuration separates none.
+    distance : float
+        Seconds that a message takes longer between failure domains, one way.
     """
 
     name: str
@@ -123,6 +142,7 @@
     duration: float = Field(gt=0, le=600)
     instances: int = Field(default=6, ge=1, le=128)
     retries: int = Field(default=2, ge=0)
+    distance: float = Field(default=0.0, ge=0)
     server: ServerPattern = ServerPattern()
     workspaces: WorkspacesPattern | None = None
     classes: tuple[RequestClass, ...] = Field(min_length=1)
--- a/src/burdocksail/serving/_context.py
+++ b/src/burdocksail/serving/_context.py
@@ -15,6 +15,7 @@
     Obstacle,
     RetryBudget,
     RunTime,
+    WorkTimes,
     compute_retry_after,
 )
 
@@ -60,6 +61,8 @@
         Transactions that hold an upstream connection.
     retry_budget : RetryBudget
         Limits the retries of this instance.
+    work_times : dict of str to WorkTimes
+        How long work takes, by service.
     random : random.Random
         Spreads retries of this instance and returns of its callers.
     """
@@ -76,6 +79,7 @@
         self.decisions = DecisionLog(board)
         self.open_transactions = 0
         self.retry_budget = RetryBudget()
+        self.work_times: defaultdict[str, WorkTimes] = defaultdict(WorkTimes)
         self.random = random.Random(f"{board.member.incarnation}/serving")
         self._run_times: defaultdict[str, RunTime] = defaultdict(RunTime)
 
--- a/src/burdocksail/traffic/__init__.py
+++ b/src/burdocksail/traffic/__init__.py
@@ -24,38 +24,47 @@
 from burdocksail.traffic._backoff import RetryBudget, compute_backoff
 from burdocksail.traffic._concurrency import ConcurrencyLimit
 from burdocksail.traffic._ejection import ServerHealth, find_ejected
+from burdocksail.traffic._knee import KneeEstimate
 from burdocksail.traffic._lag import LagEstimate
 from burdocksail.traffic._opening import OpeningWindow
+from burdocksail.traffic._pending import PendingWork
 from burdocksail.traffic._placement import ServerLoad, rank_by_cost
 from burdocksail.traffic._rejection import Obstacle, compute_retry_after
+from burdocksail.traffic._speed import SpeedEstimate
 from burdocksail.traffic._waiting import DrainRate, compute_order
 from burdocksail.traffic._waiting_limits import (
     MAX_RETURN_DELAY,
     ReturnSchedule,
     RunTime,
 )
+from burdocksail.traffic._work import Comparison, WorkTimes
 
 __all__ = [
-    "FLOOR_DELAY",
-    "TOKEN_LIFETIME",
-    "USABLE_TIME",
     "AllowanceBucket",
     "AllowanceLedger",
     "AllowanceLimit",
     "AllowanceStock",
     "Batch",
-    "MAX_RETURN_DELAY",
+    "Comparison",
     "ConcurrencyLimit",
     "DrainRate",
+    "FLOOR_DELAY",
     "HeardTime",
+    "KneeEstimate",
     "LagEstimate",
+    "MAX_RETURN_DELAY",
     "Obstacle",
     "OpeningWindow",
+    "PendingWork",
     "RetryBudget",
     "ReturnSchedule",
     "RunTime",
     "ServerHealth",
     "ServerLoad",
+    "SpeedEstimate",
+    "TOKEN_LIFETIME",
+    "USABLE_TIME",
+    "WorkTimes",
     "compute_backoff",
     "compute_limit",
     "compute_order",
