--- a/src/burdocksail/serving/_work.py
+++ b/src/burdocksail/serving/_work.py
@@ -3,14 +3,12 @@
 import math
 from collections.abc import Hashable
 
-import structlog
-
 from burdocksail.catalog import Route, Upstream
-from burdocksail.core import ExecutePrepared, Run, UpstreamCommand
+from burdocksail.core import ExecutePrepared, Run, UpstreamCommand, get_logger
 from burdocksail.serving._context import ServingContext, SessionState
 from burdocksail.serving._pools import Pool
 
-_log = structlog.get_logger()
+_log = get_logger()
 
 Kind = tuple[str, bool]
 
