Share connections fairly by workspace, and evict the one worth least

Waiting requests are now chosen by start-time fair queuing inside a route priority, weighted by the workspace's priority and charged for the time that connections are held. A request of a connection's own workspace may go first if it is due 50 ms later at most and its workspace is little ahead of its share. When the budget is used up, the idle connection is closed whose workspace needs it least often. Requests and connections of a removed workspace are denied and closed. The dump shows the ten largest workspaces of each pool; metrics count connections reused and evicted.

--- a/src/burdocksail/experiments/_patterns.py
+++ b/src/burdocksail/experiments/_patterns.py
@@ -59,11 +59,15 @@
         Exponent of their sizes: the n-th sends 1/n**skew as much as the first.
     priorities : tuple of int
         Priorities, given to the workspaces in turn.
+    serving_set : int
+        Instances, chosen by rendezvous hashing, to which all others forward the
+        requests of a workspace; 0 if each instance serves its own callers.
     """
 
     count: int = Field(ge=1)
     skew: float = Field(default=0.0, ge=0)
     priorities: tuple[int, ...] = Field(default=(1,), min_length=1)
+    serving_set: int = Field(default=0, ge=0)
 
     def compute_shares(self) -> dict[str, float]:
         """Return the share of the requests that each workspace sends."""
--- a/src/burdocksail/experiments/_playback.py
+++ b/src/burdocksail/experiments/_playback.py
@@ -5,6 +5,7 @@
 import random
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
+from hashlib import blake2b
 
 from burdocksail.catalog import (
     Catalog,
@@ -28,6 +29,7 @@
 SALT = b"experiment"
 SETTLE_TIME = 2.0  # seconds between the start of the fleet and the first request
 NO_INSTANCE_DELAY = 0.25  # seconds until a caller without an instance tries again
+FORWARDING_DELAY = 0.001  # seconds, one way between two instances
 RETRYABLE = frozenset({FailureKind.BUSY, FailureKind.ABORTED})
 
 
@@ -91,6 +93,11 @@
     return run_in_virtual_time(_Player(pattern, seed).run())
 
 
+def _rank_instance(name: str, workspace: str) -> bytes:
+    """Return the rank of an instance for a workspace by rendezvous hashing."""
+    return blake2b(f"{name}/{workspace}".encode(), digest_size=8).digest()
+
+
 class _Player:
     def __init__(self, pattern: Pattern, seed: int):
         self._pattern = pattern
@@ -199,7 +206,7 @@
         if self._random.random() < request_class.straggler_share:
             work *= request_class.straggler_factor
         while record.attempts <= self._pattern.retries:
-            name = self._choose_instance(domain)
+            name = self._choose_instance(domain, record.workspace)
             if name is None:
                 delay = NO_INSTANCE_DELAY
             else:
@@ -220,7 +227,16 @@
             record.ended_at - record.asked_at <= request_class.target
         )
 
-    def _choose_instance(self, domain: str) -> str | None:
+    def _choose_instance(self, domain: str, workspace: str) -> str | None:
+        near = self._choose_near_instance(domain)
+        workspaces = self._pattern.workspaces
+        if near is None or workspaces is None or not workspaces.serving_set:
+            return near
+        ready = [n for n, i in self._fleet.instances.items() if i.is_ready]
+        ranked = sorted(ready or [near], key=lambda n: _rank_instance(n, workspace))
+        return self._random.choice(ranked[: workspaces.serving_set])
+
+    def _choose_near_instance(self, domain: str) -> str | None:
         domain = self._shifted_domains.get(domain, domain)
         ready = [n for n, i in self._fleet.instances.items() if i.is_ready]
         near = [
@@ -238,6 +254,8 @@
     ) -> CallerReply:
         instance = self._fleet.instances[name]
         request_class = record.request_class
+        if self._pattern.workspaces and self._pattern.workspaces.serving_set:
+            await asyncio.sleep(2 * FORWARDING_DELAY)
         await instance.wait_for_catalog(request_class.timeout)
         session = CallerSession(instance.serving, request_class.name, record.workspace)
         text = f"{'WRITE' if writes else 'READ'} work={work:.6f}"
--- a/src/burdocksail/serving/_choice.py
+++ b/src/burdocksail/serving/_choice.py
@@ -2,8 +2,10 @@
 
 from burdocksail.board import GroupState, GroupView
 from burdocksail.catalog import Upstream
+from burdocksail.core import FailureKind
 from burdocksail.serving._freshness import compute_floor
 from burdocksail.serving._pools import Pool, PooledConnection
+from burdocksail.serving._replies import CommandFailed
 from burdocksail.serving._requests import StatementRequest, reject
 from burdocksail.serving._routing import rank_servers
 from burdocksail.traffic import Obstacle
@@ -118,9 +120,9 @@
         If every queue takes longer than the statement can wait.
     """
     pools = [request.serving.pools.get(upstream) for upstream in ranked]
-    workspace = request.session.workspace
+    workspace, level = request.session.workspace, request.route.priority
     limit = request.route.target_latency * ACQUIRE_SHARE
-    waits = [pool.estimate_wait(request.order, workspace) for pool in pools]
+    waits = [pool.estimate_wait(request.order, workspace, level) for pool in pools]
     for pool, wait in zip(pools, waits, strict=True):
         if wait <= limit:
             return pool
@@ -141,6 +143,8 @@
     ------
     NoConnection
         If none becomes available in time.
+    CommandFailed
+        If the workspace is not configured any more.
     """
     limit = request.route.target_latency * ACQUIRE_SHARE
     return await _acquire(request, pool, limit)
@@ -156,6 +160,8 @@
     ------
     NoConnection
         If none becomes available in time.
+    CommandFailed
+        If the workspace is not configured any more.
     """
     return await _acquire(request, pool, request.single_wait_limit)
 
@@ -163,10 +169,19 @@
 async def _acquire(
     request: StatementRequest, pool: Pool, limit: float
 ) -> PooledConnection:
-    workspace = request.session.workspace
+    workspace, level = request.session.workspace, request.route.priority
     left = request.retry_deadline - request.board.now()
     if not request.serving.has_workspaces:
         return await pool.acquire(request.order, min(limit, left), workspace)
-    expected = pool.estimate_wait(request.order, workspace)
+    _check_workspace(request)
+    expected = pool.estimate_wait(request.order, workspace, level)
     timeout = min(max(limit, expected * WAIT_MARGIN), left)
-    return await pool.acquire(request.order, timeout, workspace, left)
+    return await pool.acquire(request.order, timeout, workspace, left, level)
+
+
+def _check_workspace(request: StatementRequest) -> None:
+    """Deny a statement whose workspace has been removed since it arrived."""
+    workspace = request.session.workspace
+    workspaces = request.board.catalog.catalog.workspaces
+    if workspace and workspace not in workspaces.by_name:
+        raise CommandFailed(FailureKind.DENIED, "the workspace is not configured")
--- a/src/burdocksail/serving/_pools.py
+++ b/src/burdocksail/serving/_pools.py
@@ -1,123 +1,72 @@
 """Connection pools, one per upstream, shared by the sessions of this instance."""
 
 import asyncio
-import heapq
-import itertools
 import random
 from collections import Counter
-from dataclasses import dataclass, field
+from collections.abc import Collection
+from typing import Any
 
 import structlog
 
 from burdocksail.board import Blackboard
-from burdocksail.catalog import Upstream
-from burdocksail.core import BurdocksailError
-from burdocksail.ports import (
-    ConnectFailed,
-    Connector,
-    ReplyStatus,
-    TooManyConnections,
-    UpstreamConnection,
-)
+from burdocksail.catalog import Catalog, Upstream
+from burdocksail.ports import ConnectFailed, Connector, ReplyStatus, TooManyConnections
 from burdocksail.serving._budget import compute_budget
+from burdocksail.serving._connections import Lease, NoConnection, PooledConnection
 from burdocksail.serving._statistics import ServerStatistics
-from burdocksail.traffic import DrainRate, OpeningWindow, ReturnSchedule
+from burdocksail.traffic import (
+    Demand,
+    DrainRate,
+    FairQueue,
+    OpeningWindow,
+    ReturnSchedule,
+    WaitingRequest,
+    compute_weight,
+    estimate_use,
+)
 
 CONNECT_TIMEOUT = 1.0  # seconds; several round trips across regions and a handshake
 TIMER_SLACK = 0.002  # seconds; an event-loop timer may fire early against the clock
 FAILURES = frozenset({ReplyStatus.FAILED, ReplyStatus.TIMEOUT})
+INITIAL_HOLD_TIME = 0.03  # seconds; assumed before the first release
+HOLD_TIME_WEIGHT = 0.1  # of the newest sample in the moving average
+DEFAULT_PRIORITY = 1  # of requests that belong to no workspace
+PROBE_LEVEL = -1  # probes of primaries go before all requests
+DESCRIBED_WORKSPACES = 10  # in the state dump of a pool
 
 
-class NoConnection(BurdocksailError):
-    """No connection became available in time; nothing was sent.
+class Pool:
+    """The connections of this instance to one upstream.
 
-    Attributes
+    Parameters
     ----------
-    unreachable : bool
-        Whether connections to the server could not be opened; False if all were
-        in use, the server was full or the pool is closed.
-    expected_wait : float
-        Estimated seconds until one would have become available; 0 if unknown.
+    demand : Demand
+        Requests of this instance by workspace, over all its pools.
     """
 
     def __init__(
-        self, message: str, unreachable: bool = False, expected_wait: float = 0.0
+        self,
+        board: Blackboard,
+        connector: Connector,
+        upstream: Upstream,
+        demand: Demand | None = None,
     ):
-        super().__init__(message)
-        self.unreachable = unreachable
-        self.expected_wait = expected_wait
-
-
-@dataclass(slots=True)
-class PooledConnection:
-    """A connection, and the state of its upstream session.
-
-    Attributes
-    ----------
-    workspace : str
-        Workspace whose statements it may run; empty for those of no workspace.
-    variables : dict of str to str
-        Session variables that are set.
-    prepared : dict of (str, bool) to str
-        Names of prepared statements by template and whether they write.
-    idle_since : float
-        Clock reading at which it was opened or last released.
-    """
-
-    upstream: Upstream
-    connection: UpstreamConnection
-    workspace: str = ""
-    variables: dict[str, str] = field(default_factory=dict)
-    prepared: dict[tuple[str, bool], str] = field(default_factory=dict)
-    idle_since: float = 0.0
-
-    @property
-    def is_open(self) -> bool:
-        """Return whether the connection is not known to be broken or closed."""
-        return self.connection.is_open
-
-    def close(self) -> None:
-        """Close the connection; an open transaction rolls back."""
-        self.connection.close()
-
-    def clear_session_state(self) -> None:
-        """Record that the upstream session has been reset."""
-        self.variables.clear()
-        self.prepared.clear()
-
-
-@dataclass(order=True, slots=True)
-class _Waiter:
-    """A request that waits for a connection; lower `order` is served first.
-
-    A `workspace` of None may use a connection of any workspace.
-    """
-
-    order: float
-    sequence: int
-    workspace: str | None = field(compare=False)
-    future: asyncio.Future = field(compare=False)
-
-
-class Pool:
-    """The connections of this instance to one upstream."""
-
-    def __init__(self, board: Blackboard, connector: Connector, upstream: Upstream):
         self.upstream = upstream
         self.statistics = ServerStatistics()
         self._last_failure = ""
         self._server_full = False
         self._board = board
         self._connector = connector
+        self._demand = Demand() if demand is None else demand
+        self._own_demand = Demand()
         self._idle: list[PooledConnection] = []
-        self._in_use: set[int] = set()
-        self._opening = 0
-        self._opening_by_workspace: Counter[str] = Counter()
-        self._waiters: list[_Waiter] = []
-        self._sequence = itertools.count()
+        self._in_use: dict[int, PooledConnection] = {}
+        self._opening: Counter[str | None] = Counter()
+        self._queue = FairQueue(self._weigh)
         self._opening_window = OpeningWindow()
         self._drain = DrainRate()
         self._returns = ReturnSchedule()
+        self._hold_time = INITIAL_HOLD_TIME
         self._tasks: set[asyncio.Task] = set()
         self._closed = False
         self._random = random.Random(f"{board.member.incarnation}/{upstream.id}")
@@ -126,7 +75,7 @@
     @property
     def size(self) -> int:
         """Return the number of connections, including those being opened."""
-        return len(self._idle) + len(self._in_use) + self._opening
+        return len(self._idle) + len(self._in_use) + self._opening.total()
 
     @property
     def is_closed(self) -> bool:
@@ -136,12 +85,12 @@
     @property
     def waiting(self) -> int:
         """Return the number of requests that wait for a connection."""
-        return sum(1 for waiter in self._waiters if not waiter.future.done())
+        return len(self._queue)
 
     @property
     def is_unused(self) -> bool:
         """Return whether no connection is in use, awaited or being opened."""
-        return not self._in_use and not self._waiters and not self._opening
+        return not self._in_use and not self._queue and not self._opening.total()
 
     async def acquire(
         self,
@@ -149,18 +98,21 @@
         timeout: float,
         workspace: str | None = "",
         patience: float | None = None,
+        level: int = 0,
     ) -> PooledConnection:
         """Return a connection for exclusive use; `release` gives it back.
 
         Parameters
         ----------
         order : float
-            Requests with a lower value are served first.
+            Requests of a workspace with a lower value are served first.
         workspace : str or None
             Workspace to which the connection has to belong; None for any.
         patience : float or None
             Seconds that the request can wait in all, where it may wait again after
             `timeout`; None if it is `timeout`.
+        level : int
+            Priority of the route; workspaces have fair shares inside one level.
 
         Raises
         ------
@@ -169,40 +121,47 @@
             is closed, if opening one fails while none is in use, or if the requests
             that are served first take longer than it can wait.
         """
-        connection = self._take_idle(workspace)
-        if connection is not None:
-            return connection
         if self._closed:
             raise NoConnection("the upstream is not in use any more")
-        self._check_expected_wait(order, timeout, workspace, patience)
+        workspace, level = self._classify(workspace, level)
+        connection = self._find_idle(workspace)
+        if connection is not None and self._may_use_another():
+            self._queue.charge(workspace, level, self._hold_time)
+            return self._lend(connection, workspace, level)
+        expected = self.estimate_wait(order, workspace, level)
+        self._check_wait(expected, timeout if patience is None else patience)
         future = asyncio.get_running_loop().create_future()
-        waiter = _Waiter(order, next(self._sequence), workspace, future)
-        heapq.heappush(self._waiters, waiter)
-        self._open_if_needed()
+        request = self._queue.push(workspace, level, order, future)
+        self._advance()
         try:
             done, _ = await asyncio.wait((future,), timeout=max(0.0, timeout))
         except asyncio.CancelledError:
-            self._withdraw_waiter(future)
+            self._withdraw(request)
             raise
         if done:
             result = future.result()
             if isinstance(result, NoConnection):
                 raise result
             return result
-        future.cancel()
+        self._queue.remove(request)
         if not self._idle and not self._in_use:
             # No connection is open, and none could be opened within the timeout.
             raise NoConnection(self._last_failure or "no answer", not self._server_full)
         raise NoConnection("all connections are in use")
 
-    def estimate_wait(self, order: float, workspace: str | None = "") -> float:
+    def estimate_wait(
+        self, order: float, workspace: str | None = "", level: int = 0
+    ) -> float:
         """Return the expected seconds until a request would get a connection.
 
         0 if it would get one at once, or if nothing is known.
         """
-        ahead = sum(
-            1 for w in self._waiters if w.order <= order and not w.future.done()
-        )
+        if not self._has_workspaces():
+            ahead = self._queue.count_due(order)
+        elif not self._queue or self._find_idle(workspace) is not None:
+            return 0.0
+        else:
+            ahead = self._queue.estimate_ahead(workspace, level)
         return self._drain.estimate_wait(ahead, self._board.now())
 
     def assign_return(self, room_in: float) -> float:
@@ -214,15 +173,17 @@
 
     def release(self, connection: PooledConnection) -> None:
         """Return a connection to the pool; it is closed if broken."""
-        self._in_use.discard(id(connection))
-        if not connection.is_open or self._closed:
+        if self._in_use.pop(id(connection), None) is not None:
+            self._settle(connection)
+        if not connection.is_open or self._closed or self._is_orphaned(connection):
             connection.close()
-        else:
-            connection.idle_since = self._board.now()
-            self._idle.append(connection)
-            self._serve_waiters()
-            self._leave_room_if_full()
-        self._open_if_needed()
+            self._advance()
+            return
+        connection.idle_since = self._board.now()
+        self._idle.append(connection)
+        self._advance()
+        self._leave_room_if_full()
+        self._advance()
 
     def record_reply(self, status: ReplyStatus) -> None:
         """Record how the server replied, for the limits and for its health."""
@@ -250,19 +211,92 @@
         """
         budget = compute_budget(self._board, self.upstream)
         limit = self._board.now() - budget.idle_timeout
-        self._idle = [c for c in self._idle if c.is_open]
+        self._drop_closed()
         while self.size > budget.retained and self._idle:
             if self._idle[0].idle_since > limit:
                 return
             self._idle.pop(0).close()
 
+    def close_orphaned(self) -> None:
+        """Close idle connections of removed workspaces, and reject their requests.
+
+        Connections in use are closed when they are released.
+        """
+        for connection in [c for c in self._idle if self._is_orphaned(c)]:
+            self._idle.remove(connection)
+            connection.close()
+        orphans = [w for w in self._queue.waiting_by_workspace if not self._is_known(w)]
+        if orphans:
+            self._fail_waiting("the workspace is not configured any more", of=orphans)
+
     def close(self) -> None:
         """Close idle connections now, and the others when they are released."""
         self._closed = True
         for connection in self._idle:
             connection.close()
         self._idle.clear()
-        self._fail_waiters("the upstream is not in use any more")
+        self._fail_waiting("the upstream is not in use any more")
+
+    def describe(self) -> dict[str, Any]:
+        """Return the state of the pool for the dump; workspaces only if there are any.
+
+        Of the workspaces, those with most connections and waiting requests.
+        """
+        described: dict[str, Any] = {
+            "size": self.size,
+            "in_flight": self.statistics.in_flight,
+            "latency_ms": round(self.statistics.latency * 1000, 2),
+        }
+        if self._has_workspaces():
+            described["waiting"] = self.waiting
+            described["workspaces"] = self._describe_workspaces()
+        return described
+
+    def _describe_workspaces(self) -> dict[str, dict[str, int]]:
+        open_connections = Counter(c.workspace for c in self._iterate_open())
+        waiting: Counter[str] = Counter()
+        for workspace, count in self._queue.waiting_by_workspace.items():
+            waiting[workspace or ""] += count
+        largest = (open_connections + waiting).most_common(DESCRIBED_WORKSPACES)
+        return {
+            name: {"connections": open_connections[name], "waiting": waiting[name]}
+            for name, _ in largest
+        }
+
+    def _iterate_open(self) -> list[PooledConnection]:
+        return [*self._idle, *self._in_use.values()]
+
+    def _has_workspaces(self) -> bool:
+        catalog = self._board.catalog.catalog
+        return catalog is not None and catalog.workspaces is not None
+
+    def _is_known(self, workspace: str | None) -> bool:
+        """Return whether a workspace is configured; "" and None stand for no one's."""
+        catalog = self._board.catalog.catalog
+        if not workspace or catalog is None:
+            return True
+        return catalog.workspaces is not None and (
+            workspace in catalog.workspaces.by_name
+        )
+
+    def _is_orphaned(self, connection: PooledConnection) -> bool:
+        return not self._is_known(connection.workspace)
+
+    def _classify(self, workspace: str | None, level: int) -> tuple[str | None, int]:
+        """Return the workspace and level at which a request waits, and count it."""
+        if workspace is None:
+            return (None, PROBE_LEVEL) if self._has_workspaces() else ("", level)
+        if self._has_workspaces():
+            now = self._board.now()
+            self._demand.record(workspace, now)
+            self._own_demand.record(workspace, now)
+        return workspace, level
+
+    def _weigh(self, workspace: str | None) -> int:
+        catalog = self._board.catalog.catalog
+        workspaces = None if catalog is None else catalog.workspaces
+        known = None if workspaces is None else workspaces.by_name.get(workspace or "")
+        return compute_weight(DEFAULT_PRIORITY if known is None else known.priority)
 
     def _leave_room_if_full(self) -> None:
         """Close idle connections beyond what may be kept on a full server."""
@@ -270,132 +304,214 @@
             return
         retained = compute_budget(self._board, self.upstream).retained_when_full
         while self._idle and self.size > retained:
-            self._idle.pop(0).close()
+            self._pop_least_used().close()
 
-    def _take_idle(self, workspace: str | None) -> PooledConnection | None:
-        """Return an idle connection of a workspace if another may be used, else None.
+    def _drop_closed(self) -> None:
+        self._idle = [c for c in self._idle if c.is_open]
+
+    def _find_idle(self, workspace: str | None) -> PooledConnection | None:
+        """Return the connection that a workspace used last, None if none is idle.
 
         Connections that are known to be closed are dropped.
         """
-        self._idle = [c for c in self._idle if c.is_open]
-        if not self.statistics.concurrency.allows(len(self._in_use)):
-            return None
+        self._drop_closed()
         for connection in reversed(self._idle):
             if workspace is None or connection.workspace == workspace:
-                self._idle.remove(connection)
-                self._in_use.add(id(connection))
                 return connection
         return None
 
-    def _serve_waiters(self) -> None:
-        """Hand idle connections to the requests that wait for one."""
-        self._waiters = [w for w in self._waiters if not w.future.done()]
-        for waiter in sorted(self._waiters):
-            if not self._idle:
-                break
-            connection = self._take_idle(waiter.workspace)
+    def _may_use_another(self) -> bool:
+        return self.statistics.concurrency.allows(len(self._in_use))
+
+    def _lend(
+        self, connection: PooledConnection, workspace: str | None, level: int
+    ) -> PooledConnection:
+        self._idle.remove(connection)
+        self._in_use[id(connection)] = connection
+        now = self._board.now()
+        if connection.was_used:
+            self._board.metrics.count("connections_reused")
+        connection.was_used = True
+        connection.lease = Lease(workspace, level, now, self._hold_time)
+        return connection
+
+    def _settle(self, connection: PooledConnection) -> None:
+        """Correct the charge for the time for which a connection was held."""
+        lease, connection.lease = connection.lease, None
+        if lease is None:
+            return
+        held = self._board.now() - lease.began_at
+        self._queue.correct_charge(lease.workspace, lease.level, held - lease.charged)
+        self._hold_time += HOLD_TIME_WEIGHT * (held - self._hold_time)
+
+    def _advance(self) -> None:
+        """Hand connections to the waiting requests, and open those that are missing."""
+        while self._queue and not self._closed:
+            self._drop_closed()
+            first = self._queue.find_first(self._is_eligible)
+            if first is None:
+                return
+            connection = self._find_idle(first.workspace)
             if connection is not None:
-                waiter.future.set_result(connection)
-                self._drain.record_hand_out(self._board.now(), self.waiting > 0)
-        self._waiters = [w for w in self._waiters if not w.future.done()]
-        heapq.heapify(self._waiters)
+                if not self._may_use_another():
+                    return
+                self._hand_out(connection, first)
+            elif not self._provide(first):
+                self._serve_from_idle()
+                return
+
+    def _is_eligible(self, workspace: str | None) -> bool:
+        """Return whether a workspace has a request without an opening under way."""
+        waiting = self._queue.waiting_by_workspace.get(workspace, 0)
+        return waiting > self._opening[workspace] or (
+            self._find_idle(workspace) is not None
+        )
+
+    def _provide(self, first: WaitingRequest) -> bool:
+        """Open a connection for a request, or serve one that may overtake it.
 
-    def _withdraw_waiter(self, future: asyncio.Future) -> None:
+        Returns whether any of this was done.
+        """
+        if not self._may_open():
+            return False
+        if self.size >= compute_budget(self._board, self.upstream).capacity:
+            if not self._idle:
+                return False
+            if self._let_overtake(first):
+                return True
+            self._evict()
+        self._queue.charge(first.workspace, first.level, self._hold_time)
+        self._opening[first.workspace] += 1
+        task = asyncio.create_task(self._open(first.workspace, first.level))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return True
+
+    def _let_overtake(self, first: WaitingRequest) -> bool:
+        """Serve a request that has an idle connection and may go before the first."""
+        if not self._may_use_another():
+            return False
+        for connection in reversed(self._idle):
+            own = self._queue.find_first_of(connection.workspace)
+            if own is not None and self._queue.may_overtake(own, first):
+                self._hand_out(connection, own)
+                return True
+        return False
+
+    def _serve_from_idle(self) -> None:
+        """Serve the requests that have an idle connection, though not the next ones."""
+        for connection in list(reversed(self._idle)):
+            if not self._may_use_another():
+                return
+            own = self._queue.find_first_of(connection.workspace)
+            if own is not None:
+                self._hand_out(connection, own)
+
+    def _hand_out(self, connection: PooledConnection, request: WaitingRequest) -> None:
+        workspace, level = request.workspace, request.level
+        self._queue.remove(request)
+        if not connection.is_charged:
+            self._queue.charge(workspace, level, self._hold_time)
+        connection.is_charged = False
+        request.payload.set_result(self._lend(connection, workspace, level))
+        self._drain.record_hand_out(self._board.now(), self.waiting > 0)
+
+    def _evict(self) -> None:
+        """Close the idle connection that is worth least, to make room for another."""
+        self._pop_least_used().close()
+        self._board.metrics.count("connections_evicted")
+
+    def _pop_least_used(self) -> PooledConnection:
+        """Take out the idle connection that is needed least often.
+
+        The one that was used least recently of several, as all are where there are no
+        workspaces.
+        """
+        if not self._has_workspaces():
+            return self._idle.pop(0)
+        now = self._board.now()
+        counts = Counter(c.workspace for c in self._iterate_open())
+        uses = {
+            name: estimate_use(
+                self._demand.compute_rate(name, now),
+                self._own_demand.compute_rate(name, now) * self._hold_time,
+                counts[name],
+            )
+            for name in counts
+        }
+        least_used = min(self._idle, key=lambda c: uses[c.workspace])
+        self._idle.remove(least_used)
+        return least_used
+
+    def _withdraw(self, request: WaitingRequest) -> None:
         """End a wait whose request is gone; return a connection handed out already."""
+        self._queue.remove(request)
+        future = request.payload
         if not future.done():
             future.cancel()
         elif not isinstance(future.result(), NoConnection):
             self.release(future.result())
 
-    def _check_expected_wait(
-        self,
-        order: float,
-        timeout: float,
-        workspace: str | None,
-        patience: float | None,
-    ) -> None:
-        expected = self.estimate_wait(order, workspace)
-        if expected <= (timeout if patience is None else patience):
+    def _check_wait(self, expected: float, limit: float) -> None:
+        if expected <= limit:
             return
-        if patience is not None:
-            expected = self.assign_return(expected - patience)
+        if self._has_workspaces():
+            expected = self.assign_return(expected - limit)
         raise NoConnection("the queue is too long", expected_wait=expected)
 
-    def _open_if_needed(self) -> None:
-        """Open connections for waiting requests that have none under way."""
-        for workspace in self._find_unprovided():
-            if not self._may_open():
-                return
-            if self.size >= compute_budget(self._board, self.upstream).capacity:
-                if not self._idle:
-                    return
-                self._idle.pop(0).close()  # the one that was used least recently
-            self._opening += 1
-            self._opening_by_workspace[workspace] += 1
-            task = asyncio.create_task(self._open(workspace))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
-
-    def _find_unprovided(self) -> list[str]:
-        """Return the workspaces of waiting requests without a connection being opened.
-
-        In the order of the requests; a workspace appears once for each of them.
-        """
-        opening = Counter(self._opening_by_workspace)
-        unprovided = []
-        for waiter in sorted(w for w in self._waiters if not w.future.done()):
-            workspace = waiter.workspace or ""
-            if opening[workspace] > 0:
-                opening[workspace] -= 1
-            else:
-                unprovided.append(workspace)
-        return unprovided
-
     def _may_open(self) -> bool:
         """Return whether another connection may be opened now, the budget apart."""
+        opening = self._opening.total()
         return (
             not self._closed
-            and self._opening_window.may_open(self._opening, self._board.now())
-            and self.statistics.concurrency.allows(len(self._in_use) + self._opening)
+            and self._opening_window.may_open(opening, self._board.now())
+            and self.statistics.concurrency.allows(len(self._in_use) + opening)
         )
 
-    async def _open(self, workspace: str) -> None:
+    async def _open(self, workspace: str | None, level: int) -> None:
         board = self._board
         try:
             raw = await self._connector.connect(
-                self.upstream, CONNECT_TIMEOUT, workspace
+                self.upstream, CONNECT_TIMEOUT, workspace or ""
             )
         except ConnectFailed as error:
-            server_full = isinstance(error, TooManyConnections)
-            self._back_off(server_full)
-            self._last_failure = str(error) or type(error).__name__
-            self._server_full = server_full
-            board.metrics.count("connections_failed")
-            self._log.info(
-                "connection failed",
-                upstream=self.upstream.id,
-                reason=self._last_failure,
-                open=self.size,
-            )
-            if not self._in_use:
-                self._fail_waiters(self._last_failure, not server_full)
+            self._queue.correct_charge(workspace, level, -self._hold_time)
+            self._record_failure(error)
             return
         finally:
-            self._opening -= 1
-            self._opening_by_workspace[workspace] -= 1
+            self._opening[workspace] -= 1
         self._opening_window.record_opened()
         self._last_failure = ""
         self._server_full = False
         board.metrics.count("connections_opened")
         connection = PooledConnection(
-            self.upstream, raw, workspace, idle_since=board.now()
+            self.upstream, raw, workspace or "", idle_since=board.now()
         )
-        if self._closed:
+        if self._closed or self._is_orphaned(connection):
             connection.close()
-        else:
-            self._idle.append(connection)
-            self._serve_waiters()
-            self._open_if_needed()
+            return
+        self._idle.append(connection)
+        own = self._queue.find_first_of(workspace)
+        if own is not None and self._may_use_another():
+            connection.is_charged = True
+            self._hand_out(connection, own)
+        self._advance()
+
+    def _record_failure(self, error: ConnectFailed) -> None:
+        """Record that no connection could be opened, and open others later."""
+        server_full = isinstance(error, TooManyConnections)
+        self._back_off(server_full)
+        self._last_failure = str(error) or type(error).__name__
+        self._server_full = server_full
+        self._board.metrics.count("connections_failed")
+        self._log.info(
+            "connection failed",
+            upstream=self.upstream.id,
+            reason=self._last_failure,
+            open=self.size,
+        )
+        if not self._in_use:
+            self._fail_waiting(self._last_failure, not server_full)
 
     def _back_off(self, server_full: bool) -> None:
         """Open no connections for the backoff, then those still needed."""
@@ -403,13 +519,19 @@
         record = window.record_full if server_full else window.record_failed
         backoff = record(self._board.now(), self._random)
         loop = asyncio.get_running_loop()
-        loop.call_later(backoff + TIMER_SLACK, self._open_if_needed)
+        loop.call_later(backoff + TIMER_SLACK, self._advance)
 
-    def _fail_waiters(self, reason: str, unreachable: bool = False) -> None:
-        waiters, self._waiters = self._waiters, []
-        for waiter in waiters:
-            if not waiter.future.done():
-                waiter.future.set_result(NoConnection(reason, unreachable))
+    def _fail_waiting(
+        self,
+        reason: str,
+        unreachable: bool = False,
+        of: Collection[str | None] | None = None,
+    ) -> None:
+        """Reject all waiting requests, or those of some workspaces."""
+        requests = self._queue.drain(lambda w: of is None or w in of)
+        for request in requests:
+            if not request.payload.done():
+                request.payload.set_result(NoConnection(reason, unreachable))
 
 
 class ConnectionPools:
@@ -418,6 +540,8 @@
     def __init__(self, board: Blackboard, connector: Connector):
         self._board = board
         self._connector = connector
+        self._demand = Demand()
+        self._checked_catalog: Catalog | None = None
         self._pools: dict[str, Pool] = {}
 
     def get(self, upstream: Upstream) -> Pool:
@@ -432,12 +556,16 @@
         if pool is not None and pool.is_closed:
             pool = None  # Connections in use are still released to the old pool.
         if pool is None:
-            pool = Pool(self._board, self._connector, upstream)
+            pool = Pool(self._board, self._connector, upstream, self._demand)
             self._pools[upstream.id] = pool
         return pool
 
     def close_unused(self) -> None:
-        """Close the pools of removed upstreams, and surplus idle connections."""
+        """Close the pools of removed upstreams, and surplus idle connections.
+
+        Also what belongs to workspaces that are no longer configured.
+        """
+        self._close_orphaned()
         known = self._board.directory.upstreams
         for upstream_id, pool in list(self._pools.items()):
             if upstream_id not in known:
@@ -447,21 +575,21 @@
             else:
                 pool.close_surplus()
 
+    def _close_orphaned(self) -> None:
+        catalog = self._board.catalog.catalog
+        if catalog is not self._checked_catalog:
+            self._checked_catalog = catalog
+            for pool in self._pools.values():
+                pool.close_orphaned()
+
     def close(self) -> None:
         """Close all pools; connections in use close when they are released."""
         for pool in self._pools.values():
             pool.close()
 
-    def describe(self) -> dict[str, dict[str, float | int]]:
-        """Return size, statements in flight and latency of each pool for the dump."""
-        return {
-            upstream_id: {
-                "size": pool.size,
-                "in_flight": pool.statistics.in_flight,
-                "latency_ms": round(pool.statistics.latency * 1000, 2),
-            }
-            for upstream_id, pool in self._pools.items()
-        }
+    def describe(self) -> dict[str, dict[str, Any]]:
+        """Return the state of each pool for the dump."""
+        return {name: pool.describe() for name, pool in self._pools.items()}
 
 
 def _is_same_server(known: Upstream, current: Upstream) -> bool:
--- a/src/burdocksail/serving/pools_test.py
+++ b/src/burdocksail/serving/pools_test.py
@@ -4,6 +4,7 @@
 import unittest
 from collections.abc import Callable, Coroutine
 from dataclasses import replace
+from unittest import mock
 
 from burdocksail.catalog import Workspace, Workspaces, digest_key
 from burdocksail.core import FailureKind, Run
@@ -14,7 +15,8 @@
     run_in_virtual_time,
     silence_logs,
 )
-from burdocksail.serving import CallerReply, CallerSession
+from burdocksail.serving import CallerReply, CallerSession, _pools
+from burdocksail.serving._budget import ConnectionBudget
 
 SALT = b"test"
 NAMES = ("large", "small", "other")
@@ -50,6 +52,22 @@
     run_in_virtual_time(run())
 
 
+def get_pool(fleet: Fleet) -> _pools.Pool:
+    """Return the instance's pool of the primary."""
+    upstream = fleet.instances["instance-0"].board.directory.upstreams["server-0"]
+    return fleet.instances["instance-0"].serving.pools.get(upstream)
+
+
+async def read(fleet: Fleet, workspace: str, work: float) -> CallerReply:
+    """Send a read that any server may run."""
+    serving = fleet.instances["instance-0"].serving
+    session = CallerSession(serving, "stated_age", workspace)
+    try:
+        return await session.execute(Run("r", f"READ work={work}", False))
+    finally:
+        await session.close()
+
+
 async def write(fleet: Fleet, workspace: str, work: float = 0.0) -> CallerReply:
     """Send a write as a workspace; the statement timeout of its route is 1 s."""
     session = CallerSession(fleet.instances["instance-0"].serving, "primary", workspace)
@@ -125,5 +143,110 @@
         run_with_workspaces(scenario)
 
 
+class SharingTest(unittest.TestCase):
+    """One instance that may open few connections to each server."""
+
+    def setUp(self):
+        patch = mock.patch.object(
+            _pools, "compute_budget", lambda *_: ConnectionBudget(2, 2.0, 60.0, 2.0)
+        )
+        patch.start()
+        self.addCleanup(patch.stop)
+
+    def test_connection_runs_statements_of_its_own_workspace_only(self):
+        """Guards against statements under the name of another workspace."""
+
+        async def scenario(fleet: Fleet) -> None:
+            for workspace in NAMES * 3:
+                reply = await write(fleet, workspace)
+                self.assertIsNone(reply.failure_kind)
+                primary = fleet.database.servers["server-0"]
+                self.assertLessEqual(len(primary.connections), 2)
+                newest = max(get_pool(fleet)._idle, key=lambda c: c.idle_since)
+                self.assertEqual(newest.workspace, workspace)
+
+        run_with_workspaces(scenario)
+
+    def test_busy_workspace_keeps_its_connection_among_many_small_ones(self):
+        """Guards against closing the connection that was used least recently.
+
+        It would be the one of the workspace that sends every other request.
+        """
+        names = ("large", *(f"small-{n}" for n in range(30)))
+
+        async def scenario(fleet: Fleet) -> None:
+            metrics = fleet.instances["instance-0"].board.metrics
+            for _ in range(10):
+                await write(fleet, "large")
+            reused = metrics.counters["connections_reused"]
+            for small in range(0, 30, 3):
+                for n in range(small, small + 3):
+                    await write(fleet, f"small-{n}")
+                await write(fleet, "large")
+            self.assertEqual(metrics.counters["connections_reused"] - reused, 10)
+            self.assertGreaterEqual(metrics.counters["connections_evicted"], 29)
+
+        run_with_workspaces(scenario, names)
+
+    def test_small_workspace_is_served_beside_a_hot_one(self):
+        """Guards against one queue for all, in which it waits behind the hot one."""
+
+        async def scenario(fleet: Fleet) -> None:
+            hot = [asyncio.create_task(write(fleet, "large", 0.02)) for _ in range(30)]
+            await asyncio.sleep(0.05)
+            started = asyncio.get_running_loop().time()
+            reply = await write(fleet, "small", 0.02)
+            self.assertIsNone(reply.failure_kind)
+            self.assertLess(asyncio.get_running_loop().time() - started, 0.2)
+            for reply in await asyncio.gather(*hot):
+                self.assertIsNone(reply.failure_kind)
+
+        run_with_workspaces(scenario)
+
+    def test_removed_workspace_is_denied_while_it_waits(self):
+        """Guards against requests and connections that outlive their workspace."""
+
+        async def scenario(fleet: Fleet) -> None:
+            primary = fleet.database.servers["server-0"]
+            await write(fleet, "small")
+            primary.max_connections = 0
+            waiting = asyncio.create_task(write(fleet, "other"))
+            await asyncio.sleep(0.1)
+            workspaces = make_workspaces(("large",))
+            fleet.publish(replace(fleet.published, version=2, workspaces=workspaces))
+            reply = await waiting
+            self.assertIs(reply.failure_kind, FailureKind.DENIED)
+            names = {c.workspace for c in get_pool(fleet)._iterate_open()}
+            self.assertNotIn("small", names)
+
+        run_with_workspaces(scenario)
+
+    def test_waiting_requests_of_all_workspaces_survive_a_lost_server(self):
+        """Guards against requests that wait at a server until it is too late."""
+
+        async def scenario(fleet: Fleet) -> None:
+            lost = fleet.database.servers["server-1"]
+            tasks = [
+                asyncio.create_task(read(fleet, name, 0.02))
+                for name in NAMES
+                for _ in range(4)
+            ]
+            await asyncio.sleep(0.01)
+            lost.crash()
+            for reply in await asyncio.gather(*tasks):
+                self.assertIsNone(reply.failure_kind)
+
+        run_with_workspaces(scenario)
+
+    def test_dump_shows_the_largest_workspaces(self):
+        async def scenario(fleet: Fleet) -> None:
+            await write(fleet, "small")
+            described = fleet.instances["instance-0"].describe()["upstreams"]
+            shown = described["server-0"]["workspaces"]
+            self.assertEqual(shown["small"], {"connections": 1, "waiting": 0})
+
+        run_with_workspaces(scenario)
+
+
 if __name__ == "__main__":
     unittest.main()
