Tell callers to come back later the longer a server was full

Without an estimate, a rejected caller was told 0.15 to 0.23 s, and used up its attempts while a server still held the connections of lost instances. Where there are workspaces, it is told the time that its statement has waited.

--- a/src/burdocksail/serving/_pools.py
+++ b/src/burdocksail/serving/_pools.py
@@ -222,12 +222,20 @@
 
         Connections in use are closed when they are released.
         """
-        for connection in [c for c in self._idle if self._is_orphaned(c)]:
+        connections = [c for c in self._idle if self._is_orphaned(c)]
+        for connection in connections:
             self._idle.remove(connection)
             connection.close()
-        orphans = [w for w in self._queue.waiting_by_workspace if not self._is_known(w)]
-        if orphans:
-            self._fail_waiting("the workspace is not configured any more", of=orphans)
+        waiting = self._queue.waiting_by_workspace
+        orphans = {w: n for w, n in waiting.items() if not self._is_known(w)}
+        self._fail_waiting("the workspace is not configured any more", of=orphans)
+        if connections or orphans:
+            self._log.info(
+                "workspaces removed",
+                upstream=self.upstream.id,
+                connections_closed=len(connections),
+                requests_rejected=sum(orphans.values()),
+            )
 
     def close(self) -> None:
         """Close idle connections now, and the others when they are released."""
--- a/src/burdocksail/serving/_requests.py
+++ b/src/burdocksail/serving/_requests.py
@@ -21,6 +21,10 @@
 # Seconds for which routing avoids a server after a failed attempt.
 AVOID_BUSY = 0.04
 AVOID_BROKEN = 0.5
+# Obstacles that another instance meets as well.
+STALLS = frozenset(
+    {Obstacle.OVERLOAD, Obstacle.UNREACHABLE, Obstacle.PRIMARY_UNREACHABLE}
+)
 
 
 @dataclass(slots=True)
@@ -143,9 +147,11 @@
 
 def reject(request: StatementRequest, reason: str, obstacle: Obstacle) -> CommandFailed:
     """Return the failure of a statement without lasting effect, and when to return."""
-    retry_after = request.serving.compute_retry_after(
-        obstacle, request.route, request.expected_wait
-    )
+    expected = request.expected_wait
+    if not expected and obstacle in STALLS and request.serving.has_workspaces:
+        # Without an estimate, what has lasted so long should last as long again.
+        expected = request.board.now() - request.arrived_at
+    retry_after = request.serving.compute_retry_after(obstacle, request.route, expected)
     return CommandFailed(FailureKind.BUSY, reason, retry_after)
 
 
--- a/src/burdocksail/serving/pools_test.py
+++ b/src/burdocksail/serving/pools_test.py
@@ -123,6 +123,13 @@
         self.assertGreater(seconds, 0.6)
         self.assertLess(seconds, 0.95)
 
+    def test_time_to_retry_grows_with_the_time_that_the_server_was_full(self):
+        """Guards against callers that come back three times within a short outage."""
+        reply, seconds = self.measure_full_primary(NAMES, 2.0)
+        self.assertGreaterEqual(reply.retry_after, seconds)
+        reply, _ = self.measure_full_primary(None, 2.0)
+        self.assertLess(reply.retry_after, 0.5)
+
     def test_hopeless_statement_is_rejected_at_once_with_time_to_retry(self):
         """Guards against statements that wait in a queue which cannot serve them."""
 
