Open no more connections than the fair share where there are workspaces

More connections than a server has slots let requests wait inside the server in the order of their arrival, where no share is kept.

--- a/src/burdocksail/serving/_budget.py
+++ b/src/burdocksail/serving/_budget.py
@@ -14,6 +14,10 @@
 RESERVED_CONNECTIONS = 2  # per server, for status queries
 # Instances use their shares unevenly; a server refuses connections over its limit.
 OVERCOMMIT_FACTOR = 1.5
+# Where there are workspaces, requests wait for their fair share before a connection.
+# More connections than a server has slots would let them wait inside the server, in
+# the order of their arrival.
+OVERCOMMIT_FACTOR_FOR_WORKSPACES = 1.0
 MIN_CONNECTIONS = 2
 # A server holds the connections of an instance that lost power for seconds, so the
 # fleet should need no more than half of the server's limit.
@@ -65,7 +69,7 @@
     if usable is None:
         return ConnectionBudget(MIN_CONNECTIONS, 1.0, SURPLUS_IDLE_TIMEOUT)
     share = usable / board.members.count()
-    capacity = int(max(MIN_CONNECTIONS, share) * OVERCOMMIT_FACTOR)
+    capacity = int(max(MIN_CONNECTIONS, share) * _find_overcommit_factor(board))
     if share >= 1.0:
         retained = max(1.0, share * RETAINED_SHARE)
         retained_when_full = max(1.0, share * RETAINED_SHARE_WHEN_FULL)
@@ -79,6 +83,13 @@
     return ConnectionBudget(capacity, 1.0, SCARCE_IDLE_TIMEOUT)
 
 
+def _find_overcommit_factor(board: Blackboard) -> float:
+    catalog = board.catalog.catalog
+    if catalog is None or catalog.workspaces is None:
+        return OVERCOMMIT_FACTOR
+    return OVERCOMMIT_FACTOR_FOR_WORKSPACES
+
+
 def _count_usable_connections(board: Blackboard, upstream: Upstream) -> int | None:
     catalog = board.catalog.catalog
     service = None if catalog is None else catalog.services.get(upstream.service)
--- a/src/burdocksail/traffic/_shares.py
+++ b/src/burdocksail/traffic/_shares.py
@@ -27,7 +27,7 @@
 # A workspace may overtake until it is ahead of its share by so much time of a
 # connection. Without this, a busy workspace would keep its connections, as its waiting
 # requests are always due first.
-MAX_LEAD = 0.05  # seconds
+MAX_LEAD = 0.15  # seconds
 
 
 def compute_weight(priority: int) -> int:
