--- a/src/burdocksail/serving/_choice.py
+++ b/src/burdocksail/serving/_choice.py
@@ -129,7 +129,8 @@
     shortest = waits.index(min(waits))
     left = request.retry_deadline - request.board.now()
     if waits[shortest] > left:
-        request.expected_wait = pools[shortest].assign_return(waits[shortest] - left)
+        room_in = waits[shortest] - left
+        request.expected_wait = pools[shortest].assign_return(workspace, room_in)
         raise reject(request, "the queues are too long", Obstacle.OVERLOAD)
     return pools[shortest]
 
--- a/src/burdocksail/serving/_pools.py
+++ b/src/burdocksail/serving/_pools.py
@@ -129,7 +129,7 @@
             self._queue.charge(workspace, level, self._hold_time)
             return self._lend(connection, workspace, level)
         expected = self.estimate_wait(order, workspace, level)
-        self._check_wait(expected, timeout if patience is None else patience)
+        self._check_wait(workspace, expected, timeout if patience is None else patience)
         future = asyncio.get_running_loop().create_future()
         request = self._queue.push(workspace, level, order, future)
         self._advance()
@@ -164,12 +164,13 @@
             ahead = self._queue.estimate_ahead(workspace, level)
         return self._drain.estimate_wait(ahead, self._board.now())
 
-    def assign_return(self, room_in: float) -> float:
+    def assign_return(self, workspace: str | None, room_in: float) -> float:
         """Return the seconds after which a rejected caller should come back.
 
         `room_in` is the time in seconds until the queue has room for its request.
         """
-        return self._returns.assign(self._board.now(), room_in, self._drain.interval)
+        now, interval = self._board.now(), self._drain.interval
+        return self._returns.assign(workspace, now, room_in, interval)
 
     def release(self, connection: PooledConnection) -> None:
         """Return a connection to the pool; it is closed if broken."""
@@ -460,11 +461,11 @@
         elif not isinstance(future.result(), NoConnection):
             self.release(future.result())
 
-    def _check_wait(self, expected: float, limit: float) -> None:
+    def _check_wait(self, workspace: str | None, expected: float, limit: float) -> None:
         if expected <= limit:
             return
         if self._has_workspaces():
-            expected = self.assign_return(expected - limit)
+            expected = self.assign_return(workspace, expected - limit)
         raise NoConnection("the queue is too long", expected_wait=expected)
 
     def _may_open(self) -> bool:
--- a/src/burdocksail/serving/pools_test.py
+++ b/src/burdocksail/serving/pools_test.py
@@ -7,7 +7,7 @@
 from unittest import mock
 
 from burdocksail.catalog import Workspace, Workspaces, digest_key
-from burdocksail.core import FailureKind, Run
+from burdocksail.core import Begin, Commit, FailureKind, Run
 from burdocksail.fakes import (
     Fleet,
     ServerCapacity,
@@ -210,6 +210,22 @@
 
         run_with_workspaces(scenario)
 
+    def test_transaction_keeps_its_connection_while_others_are_evicted(self):
+        """Guards against closing a connection between two statements."""
+
+        async def scenario(fleet: Fleet) -> None:
+            serving = fleet.instances["instance-0"].serving
+            session = CallerSession(serving, "primary", "large")
+            await session.execute(Begin("b", False))
+            await session.execute(Run("t1", "WRITE", True))
+            for workspace in ("small", "other") * 5:
+                self.assertIsNone((await write(fleet, workspace)).failure_kind)
+            await session.execute(Run("t2", "WRITE", True))
+            reply = await session.execute(Commit("c"))
+            self.assertIsNone(reply.failure_kind)
+
+        run_with_workspaces(scenario)
+
     def test_removed_workspace_is_denied_while_it_waits(self):
         """Guards against requests and connections that outlive their workspace."""
 
--- a/src/burdocksail/traffic/_waiting_limits.py
+++ b/src/burdocksail/traffic/_waiting_limits.py
@@ -6,7 +6,7 @@
 a part of its timeout uses up an attempt of its caller while the queue is still moving.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 INITIAL_RUN_TIME = 0.05  # seconds; statements take 5 to 50 ms
 SAMPLE_WEIGHT = 0.125  # of the newest sample in the moving averages
@@ -49,17 +49,19 @@
 
     A rejected caller does not count in the queue, so without a schedule all callers
     that are rejected within a short time would be told the same time. The schedule
-    lets them return at the rate at which the queue is served.
+    lets those of each workspace return at the rate at which the queue is served.
 
     Attributes
     ----------
-    last_return_at : float
-        Clock reading of the latest return that a caller was told.
+    last_returns : dict of str to float
+        Clock reading of the latest return that a caller was told, by workspace.
     """
 
-    last_return_at: float = float("-inf")
+    last_returns: dict[str | None, float] = field(default_factory=dict)
 
-    def assign(self, now: float, room_in: float, interval: float) -> float:
+    def assign(
+        self, workspace: str | None, now: float, room_in: float, interval: float
+    ) -> float:
         """Return the seconds after which the caller should come back.
 
         Parameters
@@ -69,7 +71,13 @@
         interval : float
             Seconds between two requests that are served.
         """
-        earliest = now + max(0.0, room_in)
-        return_at = max(earliest, self.last_return_at + interval)
-        self.last_return_at = min(return_at, now + MAX_RETURN_DELAY)
-        return self.last_return_at - now
+        if workspace not in self.last_returns:
+            self._forget_past(now)
+        previous = self.last_returns.get(workspace, float("-inf"))
+        return_at = max(now + max(0.0, room_in), previous + interval)
+        self.last_returns[workspace] = min(return_at, now + MAX_RETURN_DELAY)
+        return self.last_returns[workspace] - now
+
+    def _forget_past(self, now: float) -> None:
+        kept = {w: at for w, at in self.last_returns.items() if at > now}
+        self.last_returns = kept
