--- a/src/burdocksail/traffic/__init__.py
+++ b/src/burdocksail/traffic/__init__.py
@@ -23,6 +23,7 @@
 )
 from burdocksail.traffic._backoff import RetryBudget, compute_backoff
 from burdocksail.traffic._concurrency import ConcurrencyLimit
+from burdocksail.traffic._demand import Demand, estimate_use
 from burdocksail.traffic._ejection import ServerHealth, find_ejected
 from burdocksail.traffic._knee import KneeEstimate
 from burdocksail.traffic._lag import LagEstimate
@@ -30,6 +31,7 @@
 from burdocksail.traffic._pending import PendingWork
 from burdocksail.traffic._placement import ServerLoad, rank_by_cost
 from burdocksail.traffic._rejection import Obstacle, compute_retry_after
+from burdocksail.traffic._shares import FairQueue, WaitingRequest, compute_weight
 from burdocksail.traffic._speed import SpeedEstimate
 from burdocksail.traffic._waiting import DrainRate, compute_order
 from burdocksail.traffic._waiting_limits import (
@@ -47,8 +49,10 @@
     "Batch",
     "Comparison",
     "ConcurrencyLimit",
+    "Demand",
     "DrainRate",
     "FLOOR_DELAY",
+    "FairQueue",
     "HeardTime",
     "KneeEstimate",
     "LagEstimate",
@@ -64,11 +68,14 @@
     "SpeedEstimate",
     "TOKEN_LIFETIME",
     "USABLE_TIME",
+    "WaitingRequest",
     "WorkTimes",
     "compute_backoff",
     "compute_limit",
     "compute_order",
     "compute_retry_after",
+    "compute_weight",
+    "estimate_use",
     "find_ejected",
     "find_floor_start",
     "find_slot",
