--- a/src/burdocksail/authority/_allowances.py
+++ b/src/burdocksail/authority/_allowances.py
@@ -11,11 +11,14 @@
     Allowance,
     AllowanceDemand,
     AllowanceGrant,
+    AllowanceHandover,
     AllowanceRequest,
+    Peers,
     Renew,
 )
 from burdocksail.traffic import (
     FLOOR_DELAY,
+    TOKEN_LIFETIME,
     AllowanceBucket,
     AllowanceLedger,
     AllowanceLimit,
@@ -24,11 +27,17 @@
     find_slot,
 )
 
-# The instances that hear the leader are counted at most this often, so each counts for
-# so much less than `FLOOR_DELAY`.
-COUNT_INTERVAL = 0.05  # seconds
+# An instance counts as one that hears the leader for this time after an answer that
+# has reached it: two lost renewals in a row. The next leader may count it after that,
+# and its floor begins at `FLOOR_DELAY`, which is later by more than `COUNT_INTERVAL`.
+HEARD_TIME = 1.0  # seconds
+COUNT_INTERVAL = 0.05  # seconds between two counts
 MAX_ANSWERS = 8  # for each instance; a request is sent twice within 50 ms
 MAX_DEMAND = 1e9  # operations per second; larger values are not numbers in use
+# Share of the instances that hear a leader, from which it uses what it inherits.
+INHERITING_SHARE = 0.5
+MAX_RESTS = 100_000  # many times the workspaces of a configuration
+RESTS_PER_MESSAGE = 20  # with long names of workspaces, below 1,200 bytes
 DESCRIBED_WORKSPACES = 10
 
 
@@ -96,6 +105,11 @@
         self._heard = 0
         self._instances = 0
         self._counted_at = float("-inf")
+        self._is_closed = False
+        self._credit_share = self._compute_credit_share()
+        self._received: set[tuple[int, str]] = set()
+        self._inherited: dict[str, float] = {}
+        self._rests: list[Allowance] = []
 
     def record_renewal(self, renewal: Renew) -> None:
         """Record until when the sender of a renewal hears this leader."""
@@ -104,8 +118,8 @@
         now = self._board.now()
         since = now
         if renewal.former_silence is not None:
-            since += max(0.0, FLOOR_DELAY - max(0.0, renewal.former_silence))
-        until = min(now, renewal.leader_time) + FLOOR_DELAY - COUNT_INTERVAL
+            since += max(0.0, HEARD_TIME - max(0.0, renewal.former_silence))
+        until = min(now, renewal.leader_time) + HEARD_TIME
         address = renewal.member.address
         known = self._hearings.get(address)
         if known is None or known.member != renewal.member:
@@ -119,7 +133,8 @@
 
         A request that arrives again is given the same answer.
         """
-        if request.epoch != self._epoch or self._board.quotas.bounds is None:
+        is_in_use = self._board.quotas.bounds is not None and not self._is_closed
+        if request.epoch != self._epoch or not is_in_use:
             return None
         answered = self._find_answered(request.member)
         known = answered.answers.get(request.number)
@@ -138,6 +153,54 @@
         answered.record(request.number, grant)
         return grant
 
+    def close(self) -> None:
+        """Stop issuing tokens, and note what is left for the next leader."""
+        if self._is_closed:
+            return
+        self._is_closed = True
+        if self._board.quotas.bounds is None or self._catalog is None:
+            return
+        now = self._board.now()
+        self._count_instances(now)
+        if self._catalog.workspaces is None:
+            return
+        for name in self._catalog.workspaces.by_name:
+            workspace = self._find_workspace(name)
+            if workspace is not None:
+                level = self._fill(workspace, now).bucket.level
+                if level >= 1.0:
+                    self._rests.append(Allowance(name, int(level), 0.0))
+
+    def hand_over(self, address: Address, peers: Peers) -> None:
+        """Send what is left in the buckets to the leader of a later epoch, once."""
+        rests, self._rests = self._rests, []
+        for start in range(0, len(rests), RESTS_PER_MESSAGE):
+            part = tuple(rests[start : start + RESTS_PER_MESSAGE])
+            message = AllowanceHandover(self._board.member, self._epoch, part)
+            peers.send(address, message)
+
+    def receive_handover(self, handover: AllowanceHandover) -> None:
+        """Add what an earlier leader had left, once for each workspace."""
+        if handover.epoch >= self._epoch or self._is_closed:
+            return
+        for rest in handover.allowances:
+            key = (handover.epoch, rest.workspace)
+            if key not in self._received and len(self._received) < MAX_RESTS:
+                self._received.add(key)
+                self._inherit(rest.workspace, max(0, rest.granted))
+
+    def _inherit(self, name: str, tokens: float) -> None:
+        self._inherited[name] = self._inherited.get(name, 0.0) + tokens
+
+    def _compute_credit_share(self) -> float:
+        """Return the part of the credit that is left by other leaderships."""
+        quotas = self._board.quotas
+        if quotas.bounds is None:
+            return 0.0
+        span = quotas.bounds.window + TOKEN_LIFETIME
+        # This leadership is not recorded yet.
+        return 0.5 ** quotas.count_leaderships(self._board.now() - span)
+
     def describe(self) -> dict[str, object]:
         """Return the state of the largest workspaces, as shown in the state dump."""
         largest = sorted(self._ledgers.items(), key=lambda i: -i[1].shares.total)
@@ -205,8 +268,11 @@
             # Its bucket has been filling since this leadership began.
             ledger = AllowanceLedger(AllowanceBucket(now), 0.0)
             self._ledgers[workspace.name] = ledger
-        unheard = self._instances - self._heard
-        ledger.fill(now, limit, self._heard_time.value, unheard)
+            self._inherit(workspace.name, limit.credit * self._credit_share)
+        ledger.fill(now, limit, self._heard_time)
+        if self._heard_time.share >= INHERITING_SHARE:
+            # Before, the depth of the bucket would not hold them.
+            ledger.bucket.add(self._inherited.pop(workspace.name, 0.0))
         return ledger
 
     def _apply_catalog(self, now: float) -> None:
@@ -251,7 +317,7 @@
     def _hears(self, member: Member, now: float, are_earlier_ended: bool) -> bool:
         if member == self._board.member:
             former = self._board.quotas.former_heard_at
-            is_former_over = former is None or former + FLOOR_DELAY <= now
+            is_former_over = former is None or former + HEARD_TIME <= now
             return are_earlier_ended or is_former_over
         hearing = self._hearings.get(member.address)
         if hearing is None or hearing.member != member or now >= hearing.until:
--- a/src/burdocksail/authority/_controller.py
+++ b/src/burdocksail/authority/_controller.py
@@ -19,6 +19,7 @@
 from burdocksail.fleet import (
     Address,
     AllowanceGrant,
+    AllowanceHandover,
     AllowanceRequest,
     Farewell,
     Grant,
@@ -82,6 +83,7 @@
             Farewell: self._handle_farewell,
             AllowanceRequest: self._handle_allowance_request,
             AllowanceGrant: lambda m, _: receive_allowances(m),
+            AllowanceHandover: lambda m, _: self._handle_allowance_handover(m),
         }
         self._log = structlog.get_logger()
 
@@ -217,6 +219,10 @@
             answer = NotLeader(self._board.member, authority.epoch, authority.leader)
             self._peers.send(address, answer)
 
+    def _handle_allowance_handover(self, handover: AllowanceHandover) -> None:
+        if self.is_leading():
+            self._leadership.allowances.receive_handover(handover)
+
     def _handle_take_over(self, message: TakeOver, address: Address) -> None:
         authority = self._board.authority
         if message.epoch >= authority.epoch and not self._board.stop.requested:
@@ -232,7 +238,9 @@
 
     def _end_if_superseded(self) -> None:
         leadership = self._leadership
-        if leadership is None or leadership.ended:
+        authority = self._board.authority
+        if leadership is None or authority.epoch <= leadership.epoch:
             return
-        if self._board.authority.epoch > leadership.epoch:
-            leadership.end("a message of a later epoch arrived")
+        leadership.end("a message of a later epoch arrived")
+        if authority.leader != self._board.member:
+            leadership.allowances.hand_over(authority.leader.address, self._peers)
--- a/src/burdocksail/authority/_follower.py
+++ b/src/burdocksail/authority/_follower.py
@@ -153,7 +153,7 @@
         authority = self._board.authority
         if epoch <= authority.epoch:
             return
-        self._board.quotas.change_leader()
+        self._board.quotas.change_leader(self._board.now(), epoch)
         authority.epoch = epoch
         authority.leader = leader
         authority.generation = 0
--- a/src/burdocksail/authority/_leadership.py
+++ b/src/burdocksail/authority/_leadership.py
@@ -183,6 +183,7 @@
         """Stop granting leases for good."""
         if not self.ended:
             self.ended = True
+            self.allowances.close()
             self._log.info("leadership ended", reason=reason)
 
     def set_view(self, view: GroupView) -> int:
--- a/src/burdocksail/board/_quotas.py
+++ b/src/burdocksail/board/_quotas.py
@@ -1,6 +1,9 @@
 """Section on the quotas of workspaces, and their bounds from the settings."""
 
-from dataclasses import dataclass
+from collections import deque
+from dataclasses import dataclass, field
+
+MAX_LEADER_CHANGES = 32  # many more than can happen in one window
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,6 +46,8 @@
         When a leader of an earlier epoch than the present one was last heard.
     registered_count : int
         Number of registered instances, as that answer told.
+    leader_changes : deque of (float, int)
+        When leaders were followed first, and their epochs.
     """
 
     bounds: QuotaBounds | None = None
@@ -51,6 +56,9 @@
     answered_at: float | None = None
     former_heard_at: float | None = None
     registered_count: int = 0
+    leader_changes: deque[tuple[float, int]] = field(
+        default_factory=lambda: deque(maxlen=MAX_LEADER_CHANGES)
+    )
 
     def record_sign(self, now: float, leader_time: float) -> None:
         """Record that the present leader was heard."""
@@ -62,7 +70,20 @@
         self.answered_at = now
         self.registered_count = registered_count
 
-    def change_leader(self) -> None:
+    def change_leader(self, now: float, epoch: int) -> None:
         """Record that a leader of a later epoch is followed."""
         self.former_heard_at = self.heard_at
         self.leader_time = None
+        self.leader_changes.append((now, epoch))
+
+    def count_leaderships(self, since: float) -> int:
+        """Return how many leaderships have begun since a clock reading, at most.
+
+        Those before the first one that this instance has followed are not counted.
+        """
+        if not self.leader_changes:
+            return 0
+        latest = self.leader_changes[-1][1]
+        earlier = [epoch for at, epoch in self.leader_changes if at < since]
+        known = max(earlier, default=self.leader_changes[0][1] - 1)
+        return latest - known
--- a/src/burdocksail/fakes/_quota_world.py
+++ b/src/burdocksail/fakes/_quota_world.py
@@ -18,6 +18,7 @@
 from burdocksail.fleet import (
     Address,
     AllowanceGrant,
+    AllowanceHandover,
     AllowanceRequest,
     Grant,
     Message,
@@ -134,6 +135,13 @@
         """Handle a message as the authority does."""
         if self.world.by_host.get(self.host) is not self:
             return
+        self._handle(message, address)
+        if self.issuer is not None and not self.leads:
+            self.issuer.close()
+            leader = self.board.authority.leader
+            self.issuer.hand_over(leader.address, self)
+
+    def _handle(self, message: Message, address: Address) -> None:
         if isinstance(message, Renew):
             self._answer_renewal(message)
         elif isinstance(message, Grant):
@@ -146,6 +154,8 @@
                 self.send(address, grant)
         elif isinstance(message, AllowanceGrant):
             self.holder.handle_grant(message)
+        elif isinstance(message, AllowanceHandover) and self.leads:
+            self.issuer.receive_handover(message)
 
     def issue(self, request: AllowanceRequest) -> AllowanceGrant | None:
         """Return the tokens for a request, None while this instance does not lead."""
--- a/src/burdocksail/fleet/_messages.py
+++ b/src/burdocksail/fleet/_messages.py
@@ -256,6 +256,21 @@
     allowances: tuple[Allowance, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class AllowanceHandover:
+    """Tokens that a leader has left, for the leader of a later epoch.
+
+    Attributes
+    ----------
+    epoch : int
+        Epoch of the sender.
+    """
+
+    leader: Member
+    epoch: int
+    allowances: tuple[Allowance, ...]
+
+
 Message = (
     Renew
     | Grant
@@ -266,4 +281,5 @@
     | Farewell
     | AllowanceRequest
     | AllowanceGrant
+    | AllowanceHandover
 )
--- a/src/burdocksail/fleet/fleet.thrift
+++ b/src/burdocksail/fleet/fleet.thrift
@@ -46,13 +46,17 @@
   1: Member leader, 2: i64 epoch, 3: i64 number, 4: i64 slot,
   5: list<Allowance> allowances
 }
+struct AllowanceHandover {
+  1: Member leader, 2: i64 epoch, 3: list<Allowance> allowances
+}
 
 struct Envelope {
   1: optional Renew Renew, 2: optional Grant Grant,
   3: optional NotLeader NotLeader, 4: optional LeaderQuery LeaderQuery,
   5: optional LeaderReport LeaderReport, 6: optional TakeOver TakeOver,
   7: optional Farewell Farewell, 8: optional AllowanceRequest AllowanceRequest,
-  9: optional AllowanceGrant AllowanceGrant
+  9: optional AllowanceGrant AllowanceGrant,
+  10: optional AllowanceHandover AllowanceHandover
 }
 
 // A snapshot of what an instance knows of the store, for one that cannot reach the
--- a/src/burdocksail/serving/_allowances.py
+++ b/src/burdocksail/serving/_allowances.py
@@ -33,6 +33,7 @@
 # An operation waits for tokens that the leader expects within this time, as long as
 # the limit below allows it.
 MAX_GRANT_WAIT = 0.1  # seconds
+MIN_REQUEST_INTERVAL = 0.01  # seconds, after the leader had too few tokens
 STOCK_PAUSE = 0.3  # seconds; see `AllowanceStock.stock_paused_until`
 ANSWER_TIMEOUT = 0.15  # seconds that an operation waits for tokens
 # A demand takes its workspace's name and some 35 bytes. With the other fields, a
@@ -363,7 +364,8 @@
             return
         stock.record_refusal(now, wait, holding.workspace.rate)
         if wait <= MAX_GRANT_WAIT:
-            asyncio.get_running_loop().call_later(wait, self._schedule_flush)
+            delay = max(wait, MIN_REQUEST_INTERVAL)
+            asyncio.get_running_loop().call_later(delay, self._schedule_flush)
             return
         for waiter in holding.waiters:
             if not waiter.done():
--- a/src/burdocksail/traffic/_allowances.py
+++ b/src/burdocksail/traffic/_allowances.py
@@ -13,6 +13,10 @@
 # Longest possible depth of a bucket is kept at this share of the rate at least: a
 # shallower one could not hold what several instances take at the same time.
 MIN_DEPTH_SECONDS = 0.2
+# Tokens with which all leaders in one window may begin together: they let the first
+# operations of small workspaces through, which would wait for seconds otherwise.
+CREDIT_SHARE = 0.25  # of what the bound allows beyond the rate
+MAX_CREDITS = 8.0
 # Tokens are scarce if there are fewer than are filled in during this time.
 SCARCE_SECONDS = 0.2
 SLOT = 0.1  # seconds; grants are recorded with this precision
@@ -35,19 +39,16 @@
     floor_depth : float
         Tokens that such an instance may save up; 0 if there are too many instances
         for each to have one within the bound.
+    credit : float
+        Tokens with which a leader begins if no other leadership began in the same
+        window. Each further one begins with half as many as the one before.
     """
 
     rate: float
     depth: float
     floor_rate: float
     floor_depth: float
-
-    @property
-    def floor_reserve(self) -> float:
-        """Return what an instance that hears no leader takes from the depth."""
-        if not self.floor_depth:
-            return 0.0
-        return self.floor_depth - self.floor_rate * TOKEN_LIFETIME
+    credit: float
 
 
 def compute_limit(
@@ -75,11 +76,13 @@
     floor_rate = filled / instances
     unfilled = max(0.0, 1.0 - floor_rate * TOKEN_LIFETIME)
     has_floor = instances * unfilled <= spare
+    credits = min(CREDIT_SHARE * spare, MAX_CREDITS)
     return AllowanceLimit(
         rate=filled,
-        depth=min(max(burst + slack, 1.0), spare),
+        depth=min(max(burst + slack, 1.0), spare - credits),
         floor_rate=floor_rate if has_floor else 0.0,
         floor_depth=max(1.0, floor_rate * TOKEN_LIFETIME) if has_floor else 0.0,
+        credit=credits / 2,
     )
 
 
@@ -127,6 +130,11 @@
         while self._slots[0].index < index - RETURN_LIMIT / SLOT:
             self._base = self._apply(self._base, self._slots.popleft())
 
+    def add(self, count: float) -> None:
+        """Add tokens besides those of the rate."""
+        self._slots[-1].filled += count
+        self.level = min(self._depth, self.level + count)
+
     def take(self, wanted: int) -> int:
         """Take up to `wanted` whole tokens and return how many."""
         granted = max(0, min(wanted, int(self.level)))
@@ -228,25 +236,15 @@
     granted: int = 0
     returned: int = 0
 
-    def fill(
-        self, now: float, limit: AllowanceLimit, heard_time: float, unheard: int
-    ) -> None:
+    def fill(self, now: float, limit: AllowanceLimit, heard: HeardTime) -> None:
         """Fill the bucket by the share of the instances that hear this leader.
 
-        Each of the others may use its floor, and saves up tokens there.
-
-        Parameters
-        ----------
-        heard_time : float
-            Seconds for which all instances together have heard this leader, as
-            `HeardTime` counts them.
-        unheard : int
-            Instances that may be using their floor.
+        Its depth is reduced to that share as well: the others may save up tokens in
+        their floors or in the bucket of another leader.
         """
-        amount = limit.rate * (heard_time - self.heard_time)
-        self.heard_time = heard_time
-        depth = limit.depth - unheard * limit.floor_reserve
-        self.bucket.fill(now, amount, max(0.0, depth))
+        amount = limit.rate * (heard.value - self.heard_time)
+        self.heard_time = heard.value
+        self.bucket.fill(now, amount, limit.depth * heard.share)
 
     def grant(
         self,
