Test quotas in a whole fleet, and count who hears the leader with each renewal

Buckets did not fill while no tokens were asked for, and a leader that stops was counted as one that may still grant for 2.1 s, so that the next one had no tokens.

--- a/src/burdocksail/authority/_allowances.py
+++ b/src/burdocksail/authority/_allowances.py
@@ -112,7 +112,11 @@
         self._rests: list[Allowance] = []
 
     def record_renewal(self, renewal: Renew) -> None:
-        """Record until when the sender of a renewal hears this leader."""
+        """Record until when the sender of a renewal hears this leader.
+
+        The instances are counted here as well, so that buckets fill also while no
+        tokens are asked for.
+        """
         if renewal.epoch != self._epoch or renewal.leader_time is None:
             return
         now = self._board.now()
@@ -127,6 +131,7 @@
         else:
             known.since = min(known.since, since)
             known.until = max(known.until, until)
+        self._count_instances(now)
 
     def answer(self, request: AllowanceRequest) -> AllowanceGrant | None:
         """Return the grant for a request; None if it is of another epoch or too old.
@@ -158,11 +163,12 @@
         if self._is_closed:
             return
         self._is_closed = True
-        if self._board.quotas.bounds is None or self._catalog is None:
+        if self._board.quotas.bounds is None:
             return
         now = self._board.now()
         self._count_instances(now)
-        if self._catalog.workspaces is None:
+        self._apply_catalog(now)
+        if self._catalog is None or self._catalog.workspaces is None:
             return
         for name in self._catalog.workspaces.by_name:
             workspace = self._find_workspace(name)
--- a/src/burdocksail/authority/_grantees.py
+++ b/src/burdocksail/authority/_grantees.py
@@ -124,9 +124,12 @@
 
     def are_earlier_stopped(self, now: float) -> bool:
         """Return whether all earlier leaders are known to have stopped granting."""
-        if self.unsettled or self.restored_at is not None:
+        if self.restored_at is not None:
             return False
-        return all(settled.stops_at <= now for settled in self.settled.values())
+        return all(map(self._has_left, self.unsettled)) and all(
+            settled.stops_at <= now or self._has_left(leader)
+            for leader, settled in self.settled.items()
+        )
 
     def has_majority(self, members: frozenset[Member], now: float) -> bool:
         """Return whether a majority of `members` renews with this leader."""
--- a/src/burdocksail/fakes/_fleet.py
+++ b/src/burdocksail/fakes/_fleet.py
@@ -9,7 +9,7 @@
 from functools import partial
 
 from burdocksail.agent import InstanceProcess
-from burdocksail.board import Blackboard, Member
+from burdocksail.board import Blackboard, Member, QuotaBounds
 from burdocksail.catalog import (
     Catalog,
     ReadPolicy,
@@ -103,6 +103,8 @@
         Servers that send no heartbeats.
     published : Catalog or None
         Catalog that operators have written last.
+    quota_bounds : QuotaBounds or None
+        Bounds of the quotas of workspaces at instances that are started.
     """
 
     store: MemoryStore = field(default_factory=MemoryStore)
@@ -118,6 +120,7 @@
     without_heartbeat: set[str] = field(default_factory=set)
     published: Catalog | None = None
     _heartbeats: int = 0
+    quota_bounds: QuotaBounds | None = None
 
     async def start(
         self, instances: int = 3, servers: int = 3, catalog: Catalog | None = None
@@ -148,6 +151,7 @@
             PORT,
         )
         board = Blackboard(member, LoopClock(loop), {d: d for d in DOMAINS})
+        board.quotas.bounds = self.quota_bounds
         board.members.seeds = ((self.host("instance-0"), PORT),)
         client = self.clients.setdefault(name, MemoryStoreClient(self.store))
         instance = InstanceProcess(
