--- a/src/burdocksail/fleet/_structures.py
+++ b/src/burdocksail/fleet/_structures.py
@@ -491,6 +491,31 @@
         self.allowances = allowances
 
 
+class AllowanceHandover:
+    """Struct `AllowanceHandover`."""
+
+    thrift_spec = {
+        1: (12, "leader", Member, False),
+        2: (10, "epoch", False),
+        3: (15, "allowances", (12, Allowance), False),
+    }
+    default_spec = [
+        ("leader", None),
+        ("epoch", None),
+        ("allowances", None),
+    ]
+
+    def __init__(
+        self,
+        leader=None,
+        epoch=None,
+        allowances=None,
+    ):
+        self.leader = leader
+        self.epoch = epoch
+        self.allowances = allowances
+
+
 class Envelope:
     """Struct `Envelope`."""
 
@@ -504,6 +529,7 @@
         7: (12, "Farewell", Farewell, False),
         8: (12, "AllowanceRequest", AllowanceRequest, False),
         9: (12, "AllowanceGrant", AllowanceGrant, False),
+        10: (12, "AllowanceHandover", AllowanceHandover, False),
     }
     default_spec = [
         ("Renew", None),
@@ -515,6 +541,7 @@
         ("Farewell", None),
         ("AllowanceRequest", None),
         ("AllowanceGrant", None),
+        ("AllowanceHandover", None),
     ]
 
     def __init__(
@@ -528,6 +555,7 @@
         Farewell=None,
         AllowanceRequest=None,
         AllowanceGrant=None,
+        AllowanceHandover=None,
     ):
         self.Renew = Renew
         self.Grant = Grant
@@ -538,6 +566,7 @@
         self.Farewell = Farewell
         self.AllowanceRequest = AllowanceRequest
         self.AllowanceGrant = AllowanceGrant
+        self.AllowanceHandover = AllowanceHandover
 
 
 class SnapshotItem:
