Learn the speed of servers with few samples, and hold back only very slow ones

An instance near one server of its service sends it all reads, and so had no peers to compare it with; a sudden change at that server now counts as one sample of a peer would. The estimate fades by the number of answers, 3 to 12 s, so that instances with little load try a slow server less often.

--- a/src/burdocksail/serving/_exchange.py
+++ b/src/burdocksail/serving/_exchange.py
@@ -79,7 +79,7 @@
     statistics.record_latency(now - started_at)
     statistics.round_trip = connection.connection.round_trip
     if reply.status is ReplyStatus.DONE and kind is not None:
-        record_run_time(serving, route.service, kind, pool, now - started_at, usual)
+        record_run_time(serving, route, kind, pool, now - started_at, usual)
     pool.record_reply(reply.status)
     if reply.status is ReplyStatus.UNKNOWN_STATEMENT:
         # The server no longer knows the statements prepared on this connection; a
--- a/src/burdocksail/serving/_work.py
+++ b/src/burdocksail/serving/_work.py
@@ -5,7 +5,7 @@
 
 import structlog
 
-from burdocksail.catalog import Route, Upstream
+from burdocksail.catalog import ReadPolicy, Route, Upstream
 from burdocksail.core import ExecutePrepared, Run, UpstreamCommand
 from burdocksail.serving._context import ServingContext, SessionState
 from burdocksail.serving._pools import Pool
@@ -16,7 +16,7 @@
 
 # Work is held back from a server only if its peers are faster by this factor. If all
 # are as slow, they are as full, and holding work back would only move the queue.
-SLOW_FACTOR = 1.5
+SLOW_FACTOR = 3.0
 SLOW_REPORT_FACTOR = 2.0
 FAST_AGAIN_FACTOR = 1.3
 REPORT_INTERVAL = 5.0  # seconds between two lines on one server
@@ -39,7 +39,7 @@
 
 def record_run_time(
     serving: ServingContext,
-    service: str,
+    route: Route,
     kind: Kind,
     pool: Pool,
     seconds: float,
@@ -58,11 +58,13 @@
     statistics = pool.statistics
     run_time = seconds - statistics.round_trip
     statistics.knee.record(math.log(max(run_time / usual, MIN_LENGTH)), now)
-    comparison = serving.work_times[service].record(
-        kind, _identify(pool.upstream), run_time, now
+    has_peers = not kind[1] and route.policy is not ReadPolicy.PRIMARY
+    work_times = serving.work_times[route.service]
+    comparison = work_times.record(
+        kind, _identify(pool.upstream), run_time, now, has_peers
     )
     if comparison is not None:
-        statistics.speed.record(comparison, now)
+        statistics.speed.record(comparison, work_times.interval, now)
     factor = statistics.speed.compute_factor(now)
     _report_change(serving, pool, factor)
     # The statement itself has been answered and is no longer among the pending ones.
--- a/src/burdocksail/traffic/_pending.py
+++ b/src/burdocksail/traffic/_pending.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass, field
 
 # Single run times of one kind of work exceed the usual one by this factor rarely.
-OVERDUE_FACTOR = 2.0
+OVERDUE_FACTOR = 4.0
 
 
 @dataclass(slots=True)
--- a/src/burdocksail/traffic/_speed.py
+++ b/src/burdocksail/traffic/_speed.py
@@ -13,9 +13,14 @@
 from burdocksail.traffic._averages import DecayingMean
 from burdocksail.traffic._work import Comparison
 
-HALF_LIFE = 3.0  # seconds
+# Without samples, the estimate loses half of its weight in the time of so many answers
+# of all servers of the service together, so that trying a slow server again costs a
+# small share of the requests, however few there are.
+HALF_LIFE_ANSWERS = 30.0
+MIN_HALF_LIFE = 3.0  # seconds
+MAX_HALF_LIFE = 12.0  # seconds
 MAX_WEIGHT = 8.0  # samples; at many a second, it follows within this many
-PRIOR_WEIGHT = 0.7  # samples' worth of the assumption that servers are equal
+PRIOR_WEIGHT = 0.5  # samples' worth of the assumption that servers are equal
 # Spread of single run times of one kind of work (standard deviation of logarithms).
 SPREAD = 0.4
 # An answer that differs by this much is more likely a change of the server's speed
@@ -30,11 +35,19 @@
     """Factor on the run time of any work at a server, learned from its answers."""
 
     _mean: DecayingMean = field(
-        default_factory=lambda: DecayingMean(HALF_LIFE, MAX_WEIGHT)
+        default_factory=lambda: DecayingMean(MIN_HALF_LIFE, MAX_WEIGHT)
     )
 
-    def record(self, comparison: Comparison, now: float) -> None:
-        """Record how an answer compares with the peers of the server."""
+    def record(self, comparison: Comparison, interval: float, now: float) -> None:
+        """Record how an answer compares with the peers of the server.
+
+        Parameters
+        ----------
+        interval : float
+            Average seconds between two answers of any server of the service.
+        """
+        half_life = HALF_LIFE_ANSWERS * interval
+        self._mean.half_life = min(max(half_life, MIN_HALF_LIFE), MAX_HALF_LIFE)
         log_ratio = min(max(comparison.log_ratio, -MAX_LOG_RATIO), MAX_LOG_RATIO)
         if abs(log_ratio - self._mean.mean) > CHANGE_STEP:
             self._mean.weight *= CHANGE_SHARE
--- a/src/burdocksail/traffic/_work.py
+++ b/src/burdocksail/traffic/_work.py
@@ -15,23 +15,28 @@
 USUAL_SECONDS = 0.03  # of work that has not been seen yet
 HALF_LIFE = 10.0  # seconds; the length of a kind of work changes more rarely than load
 MAX_WEIGHT = 50.0  # samples for each kind and server
+INTERVAL_WEIGHT = 0.05  # of the newest sample in the moving average
 MAX_KINDS = 256  # of a service; those that were used least recently are forgotten
 # Differences below this are those of messages and timers, not of work.
 MIN_SECONDS = 0.002
 # Peers with less than this many samples are not compared with.
 MIN_PEER_WEIGHT = 0.5
+# An instance near one server may send it all reads, and so knows no peers. A sudden
+# change at that server counts as far as one sample of a peer would; reads that it moves
+# to the peers then show whether the server or the work has changed.
+MAX_OWN_WEIGHT = 1.0
 
 
 @dataclass(frozen=True, slots=True)
 class Comparison:
-    """One run time, compared with the same work at the peers of its server.
+    """One run time, compared with the same work at the peers of its server before.
 
     Attributes
     ----------
     log_ratio : float
-        Logarithm of the run time over the usual one at the peers.
+        Logarithm of the run time over the usual one.
     weight : float
-        How far the peers' run times are known, from 0 to 1.
+        How far the usual one is known, from 0 to 1.
     """
 
     log_ratio: float
@@ -43,25 +48,43 @@
     """Run times of the statements of one service, by kind of work and server.
 
     Means are taken of logarithms, so that a rare long statement counts little.
+
+    Attributes
+    ----------
+    interval : float
+        Moving average of the seconds between two records.
     """
 
+    interval: float = 0.0
+    _last_at: float | None = None
     _kinds: OrderedDict[Hashable, dict[Hashable, DecayingMean]] = field(
         default_factory=OrderedDict
     )
 
     def record(
-        self, kind: Hashable, server: Hashable, seconds: float, now: float
+        self,
+        kind: Hashable,
+        server: Hashable,
+        seconds: float,
+        now: float,
+        has_peers: bool = True,
     ) -> Comparison | None:
-        """Record a run time; return how it compares, or None if there is no peer.
+        """Record a run time; return how it compares, or None if that is not known.
 
         Parameters
         ----------
         seconds : float
             Time from the statement to its reply, without that of the messages.
+        has_peers : bool
+            Whether other servers may run that kind of work. If not, its run times say
+            nothing of the server.
         """
+        if self._last_at is not None:
+            self.interval += INTERVAL_WEIGHT * (now - self._last_at - self.interval)
+        self._last_at = now
         means = self._get_means(kind)
         logarithm = math.log(max(seconds, MIN_SECONDS))
-        comparison = _compare_with_peers(means, server, logarithm, now)
+        comparison = _compare(means, server, logarithm, now) if has_peers else None
         own = means.get(server)
         if own is None:
             _forget_stale(means, now)
@@ -105,15 +128,16 @@
         return means
 
 
-def _compare_with_peers(
+def _compare(
     means: dict[Hashable, DecayingMean], server: Hashable, logarithm: float, now: float
 ) -> Comparison | None:
     weight = total = 0.0
     for peer, mean in means.items():
-        if peer != server:
-            peer_weight = mean.compute_weight(now)
-            weight += peer_weight
-            total += peer_weight * mean.mean
+        known = mean.compute_weight(now)
+        if peer == server:
+            known = min(known, MAX_OWN_WEIGHT)
+        weight += known
+        total += known * mean.mean
     if weight < MIN_PEER_WEIGHT:
         return None
     return Comparison(logarithm - total / weight, weight / (weight + 1.0))
