--- a/src/burdocksail/traffic/replays_test.py
+++ b/src/burdocksail/traffic/replays_test.py
@@ -141,6 +141,13 @@
             naive = self.count_slow_requests("silent-server")
         self.assertLess(decided, 0.9 * naive)
 
+    def test_reads_leave_a_server_at_a_tenth_of_its_speed(self):
+        """Each read there takes a third of a second, while its peers have room."""
+        decided = self.count_slow_requests("tenth-speed")
+        with mock.patch.object(ServerStatistics, "compute_slow_factor", lambda *_: 1.0):
+            naive = self.count_slow_requests("tenth-speed")
+        self.assertLess(decided, 0.6 * naive)
+
     def test_undisturbed_patterns_are_served_in_target(self):
         for pattern in ("slow-server", "failing-server", "release", "shift"):
             with self.subTest(pattern):
