Share learned speeds of servers on renewals and grants

An instance with little load found out by its own callers that a server was slow, and again each time it tried it.

--- a/src/burdocksail/authority/_follower.py
+++ b/src/burdocksail/authority/_follower.py
@@ -14,6 +14,7 @@
     PROMOTION_ORDER_LIFETIME,
     RENEW_INTERVAL,
 )
+from burdocksail.authority._speeds import collect_speeds, store_shared_speeds
 from burdocksail.board import Blackboard, GroupState, GroupView, Member, Sample
 from burdocksail.fleet import (
     Address,
@@ -114,6 +115,7 @@
         authority.is_monitor = grant.monitor
         board.members.alive_count = max(1, grant.alive)
         board.members.registered_count = grant.registered
+        store_shared_speeds(board, grant.speeds)
         applied = grant.groups is not None and self.apply_view(
             grant.epoch, grant.generation, grant.groups
         )
@@ -253,6 +255,7 @@
             reached=find_reached_services(board),
             leaving=board.stop.requested,
             store_timeline=timeline,
+            speeds=collect_speeds(board),
         )
 
     def _merge_samples(self, grant: Grant) -> None:
--- a/src/burdocksail/authority/_leadership.py
+++ b/src/burdocksail/authority/_leadership.py
@@ -10,7 +10,7 @@
 import structlog
 
 from burdocksail.authority._follower import Follower
-from burdocksail.authority._grantees import Grantees
+from burdocksail.authority._grantees import Grantee, Grantees
 from burdocksail.authority._limits import (
     LEADER_LEASE_DURATION,
     LEASE_DURATION,
@@ -30,7 +30,19 @@
     encode_record,
     number_change,
 )
-from burdocksail.board import MAX_MONITORS, Blackboard, GroupState, GroupView, Member
+from burdocksail.authority._speeds import (
+    collect_speeds,
+    merge_speeds,
+    store_shared_speeds,
+)
+from burdocksail.board import (
+    MAX_MONITORS,
+    Blackboard,
+    GroupState,
+    GroupView,
+    Member,
+    ServerSpeed,
+)
 from burdocksail.core import BurdocksailError
 from burdocksail.fleet import (
     INSTANCE_PREFIX,
@@ -52,6 +64,7 @@
 )
 
 CONFIRM_INTERVAL = 1.0  # seconds; several attempts fit into the leader lease
+SPEEDS_INTERVAL = 0.2  # seconds; renewals come every 0.3 s
 STORE_OUTAGE_LIMIT = 2.5  # seconds without the store until another should lead
 # Seconds of silence until an instance's object is removed.
 SILENT_INSTANCE_EXPIRY = 60.0
@@ -126,6 +139,8 @@
         # Holds more than one set while a write of the record is unconfirmed; a
         # majority of each is needed.
         self._member_sets = {frozenset(record.members)}
+        self._speeds: tuple[ServerSpeed, ...] = ()
+        self._speeds_merged_at = float("-inf")
         self._board = board
         self._store = store
         self._peers = peers
@@ -579,6 +594,7 @@
                         now - last.asked_at,
                     )
                 )
+        live = self.grantees.find_live(now)
         return Grant(
             leader=board.member,
             epoch=self.epoch,
@@ -586,7 +602,7 @@
             echo=echo,
             extends_evidence=extends_lease,
             groups=tuple(self.views.values()),
-            alive=1 + len(self.grantees.find_live(now)),
+            alive=1 + len(live),
             catalog_version=0 if catalog is None else catalog.version,
             directory_revision=board.directory.version_in(timeline).revision,
             store_works=board.store.is_available,
@@ -594,4 +610,15 @@
             registered=len(board.members.registered),
             monitor=False,
             store_timeline=timeline,
+            speeds=self._merge_speeds(live, now),
         )
+
+    def _merge_speeds(self, live: list[Grantee], now: float) -> tuple[ServerSpeed, ...]:
+        """Return what all instances have learned of servers, merged at intervals."""
+        if now >= self._speeds_merged_at + SPEEDS_INTERVAL:
+            self._speeds_merged_at = now
+            reports = [grantee.renewal.speeds for grantee in live]
+            own = collect_speeds(self._board)
+            self._speeds = merge_speeds([*reports, own])
+            store_shared_speeds(self._board, self._speeds)
+        return self._speeds
--- a/src/burdocksail/board/__init__.py
+++ b/src/burdocksail/board/__init__.py
@@ -24,6 +24,7 @@
 )
 from burdocksail.board._metrics import Metrics
 from burdocksail.board._signal import Signal
+from burdocksail.board._speeds import ServerSpeed, SpeedsSection
 
 __all__ = [
     "MAX_MONITORS",
@@ -40,7 +41,9 @@
     "Metrics",
     "Sample",
     "SamplesSection",
+    "ServerSpeed",
     "Signal",
+    "SpeedsSection",
     "StopSection",
     "StoreSection",
     "UnconfirmedEntry",
--- a/src/burdocksail/board/_blackboard.py
+++ b/src/burdocksail/board/_blackboard.py
@@ -16,6 +16,7 @@
 )
 from burdocksail.board._metrics import Metrics
 from burdocksail.board._signal import Signal
+from burdocksail.board._speeds import SpeedsSection
 from burdocksail.core import SecondsClock
 
 
@@ -69,6 +70,7 @@
     store: StoreSection = field(default_factory=StoreSection)
     authority: AuthoritySection = field(default_factory=AuthoritySection)
     samples: SamplesSection = field(default_factory=SamplesSection)
+    speeds: SpeedsSection = field(default_factory=SpeedsSection)
     stop: StopSection = field(default_factory=StopSection)
     metrics: Metrics = field(default_factory=Metrics)
     changed: Signal = field(default_factory=Signal)
--- a/src/burdocksail/fleet/_messages.py
+++ b/src/burdocksail/fleet/_messages.py
@@ -7,7 +7,7 @@
 
 from dataclasses import dataclass
 
-from burdocksail.board import GroupView, Member
+from burdocksail.board import GroupView, Member, ServerSpeed
 from burdocksail.core import LogPosition
 
 
@@ -54,6 +54,8 @@
     store_timeline : int
         Latest timeline of the store that the sender knows of; `directory_revision`
         belongs to it.
+    speeds : tuple of ServerSpeed
+        What the sender has learned of servers that others may not know.
     """
 
     member: Member
@@ -68,6 +70,7 @@
     reached: tuple[str, ...]
     leaving: bool
     store_timeline: int = 0
+    speeds: tuple[ServerSpeed, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -93,6 +96,8 @@
         primaries.
     store_timeline : int
         As in `Renew`.
+    speeds : tuple of ServerSpeed
+        What several instances have learned together.
     """
 
     leader: Member
@@ -109,6 +114,7 @@
     registered: int
     monitor: bool
     store_timeline: int = 0
+    speeds: tuple[ServerSpeed, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/burdocksail/fleet/fleet.thrift
+++ b/src/burdocksail/fleet/fleet.thrift
@@ -13,19 +13,22 @@
 struct SharedSample {
   1: string service_name, 2: i64 change, 3: LogPosition position, 4: double age
 }
+struct ServerSpeed {
+  1: string upstream_id, 2: i64 started_at_ms, 3: double log_ratio, 4: double weight
+}
 
 struct Renew {
   1: Member member, 2: double sent_at, 3: i64 epoch, 4: i64 generation,
   5: i64 catalog_version, 6: i64 directory_revision, 7: bool store_works,
   8: list<string> busy, 9: list<string> unreachable, 10: list<string> reached, 11: bool leaving,
-  12: i64 store_timeline = 0
+  12: i64 store_timeline = 0, 13: list<ServerSpeed> speeds = []
 }
 struct Grant {
   1: Member leader, 2: i64 epoch, 3: i64 generation, 4: double echo,
   5: bool extends_evidence, 6: optional list<GroupView> groups, 7: i64 alive,
   8: i64 catalog_version, 9: i64 directory_revision, 10: bool store_works,
   11: list<SharedSample> samples, 12: i64 registered, 13: bool monitor,
-  14: i64 store_timeline = 0
+  14: i64 store_timeline = 0, 15: list<ServerSpeed> speeds = []
 }
 struct NotLeader { 1: Member member, 2: i64 epoch, 3: optional Member leader }
 struct LeaderQuery { 1: Member member, 2: i64 epoch }
--- a/src/burdocksail/serving/_pools.py
+++ b/src/burdocksail/serving/_pools.py
@@ -413,6 +413,7 @@
                 pool.close()
                 if pool.is_unused:
                     del self._pools[upstream_id]
+                    self._board.speeds.own.pop(upstream_id, None)
             else:
                 pool.close_surplus()
 
--- a/src/burdocksail/serving/_routing.py
+++ b/src/burdocksail/serving/_routing.py
@@ -4,6 +4,7 @@
 from burdocksail.catalog import Route, Upstream, UpstreamState
 from burdocksail.serving._context import ServingContext
 from burdocksail.serving._freshness import Floor
+from burdocksail.serving._work import find_shared_speed
 from burdocksail.traffic import ServerLoad, find_ejected, rank_by_cost
 
 # Assumed round trips in seconds, by distance. They are part of the cost beside the
@@ -68,7 +69,9 @@
         round_trip=estimate_round_trip(board, upstream) + statistics.round_trip,
         run_time=run_time,
         pending=statistics.pending.seconds,
-        slow_factor=statistics.compute_slow_factor(now),
+        slow_factor=statistics.compute_slow_factor(
+            now, *find_shared_speed(board, upstream)
+        ),
         is_primary=is_primary,
         may_cover=is_primary or statistics.lag.may_cover(floor.compute_age(now), now),
         is_avoided=now < statistics.avoid_until or statistics.is_held_back,
--- a/src/burdocksail/serving/_statistics.py
+++ b/src/burdocksail/serving/_statistics.py
@@ -63,10 +63,16 @@
         limit = self.concurrency
         return limit.is_delayed and not limit.allows(len(self.pending))
 
-    def compute_slow_factor(self, now: float) -> float:
-        """Return the factor on run times at the server, 1 as far as is known."""
+    def compute_slow_factor(
+        self, now: float, other_log_ratio: float = 0.0, other_weight: float = 0.0
+    ) -> float:
+        """Return the factor on run times at the server, 1 as far as is known.
+
+        The other arguments are as those of `SpeedEstimate.compute_factor`.
+        """
         return max(
-            self.speed.compute_factor(now), self.pending.compute_least_factor(now)
+            self.speed.compute_factor(now, other_log_ratio, other_weight),
+            self.pending.compute_least_factor(now),
         )
 
     def describe(self, now: float) -> dict[str, float | int | None]:
--- a/src/burdocksail/serving/_work.py
+++ b/src/burdocksail/serving/_work.py
@@ -5,6 +5,7 @@
 
 import structlog
 
+from burdocksail.board import Blackboard, ServerSpeed
 from burdocksail.catalog import ReadPolicy, Route, Upstream
 from burdocksail.core import ExecutePrepared, Run, UpstreamCommand
 from burdocksail.serving._context import ServingContext, SessionState
@@ -20,6 +21,7 @@
 SLOW_REPORT_FACTOR = 2.0
 FAST_AGAIN_FACTOR = 1.3
 REPORT_INTERVAL = 5.0  # seconds between two lines on one server
+SHARED_HALF_LIFE = 1.0  # seconds; grants come every 0.3 s
 MIN_LENGTH = 0.1  # of the usual run time; shorter ones tell no more than this
 
 
@@ -65,6 +67,7 @@
     )
     if comparison is not None:
         statistics.speed.record(comparison, work_times.interval, now)
+        _publish_speed(serving.board, pool, now)
     factor = statistics.speed.compute_factor(now)
     _report_change(serving, pool, factor)
     # The statement itself has been answered and is no longer among the pending ones.
@@ -85,6 +88,33 @@
     return statistics.round_trip + run_time
 
 
+def find_shared_speed(board: Blackboard, upstream: Upstream) -> tuple[float, float]:
+    """Return what other instances have learned: logarithm of the factor, and weight.
+
+    It fades if no grant renews it.
+    """
+    found = board.speeds.shared.get(upstream.id)
+    if found is None or found[0].started_at_ms != upstream.started_at_ms:
+        return 0.0, 0.0
+    speed, told_at = found
+    fading = 0.5 ** ((board.now() - told_at) / SHARED_HALF_LIFE)
+    return speed.log_ratio, speed.weight * fading
+
+
+def _publish_speed(board: Blackboard, pool: Pool, now: float) -> None:
+    """Write what has been learned of a server to the blackboard."""
+    upstream, speed = pool.upstream, pool.statistics.speed
+    board.speeds.own[upstream.id] = (
+        ServerSpeed(
+            upstream.id,
+            upstream.started_at_ms,
+            speed.log_ratio,
+            speed.compute_weight(now),
+        ),
+        now,
+    )
+
+
 def _identify(upstream: Upstream) -> Hashable:
     """Return what names one run of a server; a server that was restarted is new."""
     return (upstream.id, upstream.started_at_ms, upstream.host, upstream.port)
--- a/src/burdocksail/traffic/_speed.py
+++ b/src/burdocksail/traffic/_speed.py
@@ -57,14 +57,26 @@
         """Return the number of answers that the estimate stands for."""
         return self._mean.compute_weight(now)
 
-    def compute_factor(self, now: float) -> float:
+    @property
+    def log_ratio(self) -> float:
+        """Return the mean of the recorded ratios."""
+        return self._mean.mean
+
+    def compute_factor(
+        self, now: float, other_log_ratio: float = 0.0, other_weight: float = 0.0
+    ) -> float:
         """Return the factor on run times; 1 as far as is known.
 
         Differences that may be due to chance are left out.
+
+        Parameters
+        ----------
+        other_log_ratio, other_weight : float
+            What other instances have learned, and how many answers that stands for.
         """
         weight = self._mean.compute_weight(now)
-        known = weight + PRIOR_WEIGHT
-        shrunk = self._mean.mean * weight / known
+        known = weight + other_weight + PRIOR_WEIGHT
+        shrunk = (self._mean.mean * weight + other_log_ratio * other_weight) / known
         excess = abs(shrunk) - SPREAD / math.sqrt(known)
         if excess <= 0.0:
             return 1.0
