--- a/src/burdocksail/authority/_leadership.py
+++ b/src/burdocksail/authority/_leadership.py
@@ -9,7 +9,7 @@
 
 from burdocksail.authority._allowances import AllowanceIssuer
 from burdocksail.authority._follower import Follower
-from burdocksail.authority._grantees import Grantees
+from burdocksail.authority._grantees import Grantee, Grantees
 from burdocksail.authority._limits import (
     LEADER_LEASE_DURATION,
     LEASE_DURATION,
@@ -29,7 +29,19 @@
     encode_record,
     number_change,
 )
-from burdocksail.board import MAX_MONITORS, Blackboard, GroupState, GroupView, Member
+from burdocksail.authority._speeds import (
+    collect_speeds,
+    merge_speeds,
+    store_shared_speeds,
+)
+from burdocksail.board import (
+    MAX_MONITORS,
+    Blackboard,
+    GroupState,
+    GroupView,
+    Member,
+    ServerSpeed,
+)
 from burdocksail.core import BurdocksailError, get_logger
 from burdocksail.fleet import (
     INSTANCE_PREFIX,
@@ -51,6 +63,7 @@
 )
 
 CONFIRM_INTERVAL = 1.0  # seconds; several attempts fit into the leader lease
+SPEEDS_INTERVAL = 0.2  # seconds; renewals come every 0.3 s
 STORE_OUTAGE_LIMIT = 2.5  # seconds without the store until another should lead
 # Seconds of silence until an instance's object is removed.
 SILENT_INSTANCE_EXPIRY = 60.0
@@ -130,6 +143,8 @@
         # Holds more than one set while a write of the record is unconfirmed; a
         # majority of each is needed.
         self._member_sets = {frozenset(record.members)}
+        self._speeds: tuple[ServerSpeed, ...] = ()
+        self._speeds_merged_at = float("-inf")
         self._board = board
         self._store = store
         self._peers = peers
@@ -589,6 +604,7 @@
                         now - last.asked_at,
                     )
                 )
+        live = self.grantees.find_live(now)
         return Grant(
             leader=board.member,
             epoch=self.epoch,
@@ -596,7 +612,7 @@
             echo=echo,
             extends_evidence=extends_lease,
             groups=tuple(self.views.values()),
-            alive=1 + len(self.grantees.find_live(now)),
+            alive=1 + len(live),
             catalog_version=0 if catalog is None else catalog.version,
             directory_revision=board.directory.version_in(timeline).revision,
             store_works=board.store.is_available,
@@ -605,4 +621,15 @@
             monitor=False,
             store_timeline=timeline,
             leader_time=None if board.quotas.bounds is None else now,
+            speeds=self._merge_speeds(live, now),
         )
+
+    def _merge_speeds(self, live: list[Grantee], now: float) -> tuple[ServerSpeed, ...]:
+        """Return what all instances have learned of servers, merged at intervals."""
+        if now >= self._speeds_merged_at + SPEEDS_INTERVAL:
+            self._speeds_merged_at = now
+            reports = [grantee.renewal.speeds for grantee in live]
+            own = collect_speeds(self._board)
+            self._speeds = merge_speeds([*reports, own])
+            store_shared_speeds(self._board, self._speeds)
+        return self._speeds
--- a/src/burdocksail/board/__init__.py
+++ b/src/burdocksail/board/__init__.py
@@ -25,6 +25,7 @@
 from burdocksail.board._metrics import Metrics
 from burdocksail.board._quotas import QuotaBounds, QuotaSection
 from burdocksail.board._signal import Signal
+from burdocksail.board._speeds import ServerSpeed, SpeedsSection
 
 __all__ = [
     "MAX_MONITORS",
@@ -43,7 +44,9 @@
     "QuotaSection",
     "Sample",
     "SamplesSection",
+    "ServerSpeed",
     "Signal",
+    "SpeedsSection",
     "StopSection",
     "StoreSection",
     "UnconfirmedEntry",
--- a/src/burdocksail/board/_blackboard.py
+++ b/src/burdocksail/board/_blackboard.py
@@ -17,6 +17,7 @@
 from burdocksail.board._metrics import Metrics
 from burdocksail.board._quotas import QuotaSection
 from burdocksail.board._signal import Signal
+from burdocksail.board._speeds import SpeedsSection
 from burdocksail.core import SecondsClock
 
 
@@ -71,6 +72,7 @@
     authority: AuthoritySection = field(default_factory=AuthoritySection)
     samples: SamplesSection = field(default_factory=SamplesSection)
     quotas: QuotaSection = field(default_factory=QuotaSection)
+    speeds: SpeedsSection = field(default_factory=SpeedsSection)
     stop: StopSection = field(default_factory=StopSection)
     metrics: Metrics = field(default_factory=Metrics)
     changed: Signal = field(default_factory=Signal)
--- a/src/burdocksail/fleet/_messages.py
+++ b/src/burdocksail/fleet/_messages.py
@@ -7,7 +7,7 @@
 
 from dataclasses import dataclass
 
-from burdocksail.board import GroupView, Member
+from burdocksail.board import GroupView, Member, ServerSpeed
 from burdocksail.core import LogPosition
 
 
@@ -59,6 +59,8 @@
     former_silence : float or None
         Seconds since the sender last heard a leader of an earlier epoch; None if it
         has heard none.
+    speeds : tuple of ServerSpeed
+        What the sender has learned of servers that others may not know.
     """
 
     member: Member
@@ -75,6 +77,7 @@
     store_timeline: int = 0
     leader_time: float | None = None
     former_silence: float | None = None
+    speeds: tuple[ServerSpeed, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -102,6 +105,8 @@
         As in `Renew`.
     leader_time : float or None
         Reading of the leader's clock; the next renewal returns it.
+    speeds : tuple of ServerSpeed
+        What several instances have learned together.
     """
 
     leader: Member
@@ -119,6 +124,7 @@
     monitor: bool
     store_timeline: int = 0
     leader_time: float | None = None
+    speeds: tuple[ServerSpeed, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/burdocksail/fleet/_structures.py
+++ b/src/burdocksail/fleet/_structures.py
@@ -116,6 +116,35 @@
         self.age = age
 
 
+class ServerSpeed:
+    """Struct `ServerSpeed`."""
+
+    thrift_spec = {
+        1: (11, "upstream_id", False),
+        2: (10, "started_at_ms", False),
+        3: (4, "log_ratio", False),
+        4: (4, "weight", False),
+    }
+    default_spec = [
+        ("upstream_id", None),
+        ("started_at_ms", None),
+        ("log_ratio", None),
+        ("weight", None),
+    ]
+
+    def __init__(
+        self,
+        upstream_id=None,
+        started_at_ms=None,
+        log_ratio=None,
+        weight=None,
+    ):
+        self.upstream_id = upstream_id
+        self.started_at_ms = started_at_ms
+        self.log_ratio = log_ratio
+        self.weight = weight
+
+
 class Renew:
     """Struct `Renew`."""
 
@@ -134,6 +163,7 @@
         12: (10, "store_timeline", False),
         13: (4, "leader_time", False),
         14: (4, "former_silence", False),
+        20: (15, "speeds", (12, ServerSpeed), False),
     }
     default_spec = [
         ("member", None),
@@ -150,6 +180,7 @@
         ("store_timeline", 0),
         ("leader_time", None),
         ("former_silence", None),
+        ("speeds", []),
     ]
 
     def __init__(
@@ -168,6 +199,7 @@
         store_timeline=0,
         leader_time=None,
         former_silence=None,
+        speeds=None,
     ):
         self.member = member
         self.sent_at = sent_at
@@ -183,6 +215,7 @@
         self.store_timeline = store_timeline
         self.leader_time = leader_time
         self.former_silence = former_silence
+        self.speeds = [] if speeds is None else speeds
 
 
 class Grant:
@@ -204,6 +237,7 @@
         13: (2, "monitor", False),
         14: (10, "store_timeline", False),
         15: (4, "leader_time", False),
+        20: (15, "speeds", (12, ServerSpeed), False),
     }
     default_spec = [
         ("leader", None),
@@ -221,6 +255,7 @@
         ("monitor", None),
         ("store_timeline", 0),
         ("leader_time", None),
+        ("speeds", []),
     ]
 
     def __init__(
@@ -240,6 +275,7 @@
         monitor=None,
         store_timeline=0,
         leader_time=None,
+        speeds=None,
     ):
         self.leader = leader
         self.epoch = epoch
@@ -256,6 +292,7 @@
         self.monitor = monitor
         self.store_timeline = store_timeline
         self.leader_time = leader_time
+        self.speeds = [] if speeds is None else speeds
 
 
 class NotLeader:
--- a/src/burdocksail/tools/structures.py
+++ b/src/burdocksail/tools/structures.py
@@ -72,11 +72,23 @@
             8, (f"{n}: {_render_type(s)}," for n, s in struct.thrift_spec.items())
         ),
         defaults=_join(8, (f'("{n}", {v!r}),' for n, v in struct.default_spec)),
-        arguments=_join(8, (f"{n}={v!r}," for n, v in struct.default_spec)),
-        assignments=_join(8, (f"self.{n} = {n}" for n, _ in struct.default_spec)),
+        arguments=_join(8, (_render_argument(n, v) for n, v in struct.default_spec)),
+        assignments=_join(8, (_render_assignment(*d) for d in struct.default_spec)),
     )
 
 
+def _render_argument(name: str, default: Any) -> str:
+    # A container as a default argument would be shared by all structs.
+    shown = None if isinstance(default, list | dict) else default
+    return f"{name}={shown!r},"
+
+
+def _render_assignment(name: str, default: Any) -> str:
+    if isinstance(default, list | dict):
+        return f"self.{name} = {default!r} if {name} is None else {name}"
+    return f"self.{name} = {name}"
+
+
 def _render_type(spec: Any) -> str:
     """Return the source of a field's type, which may hold types of elements."""
     if isinstance(spec, tuple):
