--- a/src/burdocksail/serving/pools_test.py
+++ b/src/burdocksail/serving/pools_test.py
@@ -15,7 +15,7 @@
     run_in_virtual_time,
     silence_logs,
 )
-from burdocksail.serving import CallerReply, CallerSession, _pools
+from burdocksail.serving import CallerReply, CallerSession, _pool
 from burdocksail.serving._budget import ConnectionBudget
 
 SALT = b"test"
@@ -52,7 +52,7 @@
     run_in_virtual_time(run())
 
 
-def get_pool(fleet: Fleet) -> _pools.Pool:
+def get_pool(fleet: Fleet) -> _pool.Pool:
     """Return the instance's pool of the primary."""
     upstream = fleet.instances["instance-0"].board.directory.upstreams["server-0"]
     return fleet.instances["instance-0"].serving.pools.get(upstream)
@@ -155,7 +155,7 @@
 
     def setUp(self):
         patch = mock.patch.object(
-            _pools, "compute_budget", lambda *_: ConnectionBudget(2, 2.0, 60.0, 2.0)
+            _pool, "compute_budget", lambda *_: ConnectionBudget(2, 2.0, 60.0, 2.0)
         )
         patch.start()
         self.addCleanup(patch.stop)
--- a/src/burdocksail/traffic/replays_test.py
+++ b/src/burdocksail/traffic/replays_test.py
@@ -17,9 +17,11 @@
 from burdocksail.serving import _context, _requests, _routing
 from burdocksail.traffic import (
     ConcurrencyLimit,
+    FairQueue,
     LagEstimate,
     Obstacle,
     OpeningWindow,
+    WaitingRequest,
     compute_retry_after,
 )
 
@@ -29,6 +31,8 @@
 NAIVE_BACKOFF = 0.15  # seconds
 NAIVE_RETRY_AFTER = 0.2  # seconds
 SLOW_PROMOTION = 0.6  # seconds
+# Each replay of a hot workspace takes seconds.
+HOT_SEEDS = range(1)
 SLOW = 0.3  # seconds; an order of magnitude above an undisturbed read
 
 
@@ -54,6 +58,11 @@
     return window.paused_until - now
 
 
+def find_first_due(queue: FairQueue, is_eligible) -> WaitingRequest | None:
+    eligible = (r for r in queue._iterate() if is_eligible(r.workspace))
+    return min(eligible, default=None)
+
+
 class ReplayTest(unittest.TestCase):
     def test_lagging_replicas_get_fewer_reads_that_they_refuse(self):
         """Each instance would send them most reads again and again."""
@@ -65,6 +74,34 @@
         self.assertLess(decided.rejected_share, 0.6 * naive.rejected_share)
         self.assertGreaterEqual(decided.total.in_target, naive.total.in_target)
 
+    def test_hot_workspace_does_not_delay_the_others(self):
+        """In one queue for all, the others would wait behind its requests."""
+        decided = replay("hot-workspace", HOT_SEEDS)
+        naive = replay_naively(
+            "hot-workspace",
+            [
+                mock.patch.object(FairQueue, "find_first", find_first_due),
+                mock.patch.object(
+                    FairQueue, "estimate_ahead", lambda queue, *_: len(queue)
+                ),
+            ],
+            HOT_SEEDS,
+        )
+        (_, others), (_, naive_others) = decided.workspaces, naive.workspaces
+        self.assertLess(others.rejected, 0.005)
+        self.assertGreater(others.in_target, naive_others.in_target + 0.1)
+
+    def test_callers_of_workspaces_are_served_after_a_restart_of_all(self):
+        """Their attempts would end before the servers drop the lost connections."""
+        decided = replay("workspace-restart", HOT_SEEDS)
+        naive = replay_naively(
+            "workspace-restart",
+            [mock.patch.object(_requests, "STALLS", frozenset())],
+            HOT_SEEDS,
+        )
+        self.assertLess(decided.total.rejected, 0.002)
+        self.assertGreater(naive.total.rejected, 2 * decided.total.rejected)
+
     def test_burst_of_patient_requests_does_not_delay_urgent_ones(self):
         """In order of arrival, all classes would wait behind the burst."""
         decided = replay("burst")
