--- a/src/burdocksail/serving/_pool.py
+++ b/src/burdocksail/serving/_pool.py
@@ -124,7 +124,7 @@
             self._workspaces.record_request(workspace)
         connection = self._find_idle(workspace)
         if connection is not None and self._may_use_another():
-            self._queue.charge(workspace, level, self._hold_time)
+            self._charge(workspace, level, self._hold_time)
             return self._lend(connection, workspace, level)
         expected = self.estimate_wait(order, workspace, level)
         self._check_wait(workspace, expected, timeout if patience is None else patience)
@@ -300,13 +300,19 @@
     ) -> PooledConnection:
         self._idle.remove(connection)
         self._in_use[id(connection)] = connection
-        now = self._board.now()
         if connection.was_used:
             self._board.metrics.count("connections_reused")
         connection.was_used = True
-        connection.lease = Lease(workspace, level, now, self._hold_time)
+        if self._workspaces.are_configured:
+            now = self._board.now()
+            connection.lease = Lease(workspace, level, now, self._hold_time)
         return connection
 
+    def _charge(self, workspace: str | None, level: int, seconds: float) -> None:
+        """Charge a workspace for a connection; without workspaces, nobody."""
+        if self._workspaces.are_configured:
+            self._queue.charge(workspace, level, seconds)
+
     def _settle(self, connection: PooledConnection) -> None:
         """Correct the charge for the time for which a connection was held."""
         lease, connection.lease = connection.lease, None
@@ -352,7 +358,7 @@
             if self._let_overtake(first):
                 return True
             self._evict()
-        self._queue.charge(first.workspace, first.level, self._hold_time)
+        self._charge(first.workspace, first.level, self._hold_time)
         self._opening[first.workspace] += 1
         task = asyncio.create_task(self._open(first.workspace, first.level))
         self._tasks.add(task)
@@ -383,7 +389,7 @@
         workspace, level = request.workspace, request.level
         self._queue.remove(request)
         if not connection.is_charged:
-            self._queue.charge(workspace, level, self._hold_time)
+            self._charge(workspace, level, self._hold_time)
         connection.is_charged = False
         request.payload.set_result(self._lend(connection, workspace, level))
         self._drain.record_hand_out(self._board.now(), self.waiting > 0)
