Pass over servers that have just failed when choosing by the queue

A server that loses answers has a short queue because it is avoided, and would have got the reads of an overload. Statements that wait for a primary look again less often the longer they have waited.

--- a/src/burdocksail/serving/_choice.py
+++ b/src/burdocksail/serving/_choice.py
@@ -1,5 +1,7 @@
 """Choice of the server for a statement, and the wait until one can run it."""
 
+from operator import itemgetter
+
 from burdocksail.board import GroupState, GroupView
 from burdocksail.catalog import Upstream
 from burdocksail.core import FailureKind
@@ -13,6 +15,7 @@
 ACQUIRE_SHARE = 0.2  # of the target latency, to wait for a connection to one server
 LEASE_WAIT_SHARE = 0.2  # of the target latency, to wait for a valid lease
 WAIT_MARGIN = 2.0  # of the expected wait, before another server is tried
+POLL_SHARE = 0.1  # of the time waited so far, where there are workspaces
 POLL_INTERVAL = 0.015  # seconds, of what waits without a notification
 
 _OBSTACLE_REASONS = {
@@ -48,7 +51,19 @@
         request.expected_wait = max(0.0, opens_at - now)
         if now >= limit or opens_at >= limit:
             raise reject(request, _OBSTACLE_REASONS[obstacle], obstacle)
-        await board.changed.wait(min(limit - now, POLL_INTERVAL))
+        await board.changed.wait(min(limit - now, _find_poll_interval(request)))
+
+
+def _find_poll_interval(request: StatementRequest) -> float:
+    """Return the seconds until a statement looks again whether it may start.
+
+    Where there are workspaces, many statements may wait for seconds, and the interval
+    grows with the time that they have waited.
+    """
+    if not request.serving.has_workspaces:
+        return POLL_INTERVAL
+    waited = request.board.now() - request.arrived_at
+    return max(POLL_INTERVAL, waited * POLL_SHARE)
 
 
 def _find_wait_limit(
@@ -119,20 +134,26 @@
     CommandFailed
         If every queue takes longer than the statement can wait.
     """
-    pools = [request.serving.pools.get(upstream) for upstream in ranked]
     workspace, level = request.session.workspace, request.route.priority
+    now = request.board.now()
     limit = request.route.target_latency * ACQUIRE_SHARE
-    waits = [pool.estimate_wait(request.order, workspace, level) for pool in pools]
-    for pool, wait in zip(pools, waits, strict=True):
+    waits = [
+        (pool.estimate_wait(request.order, workspace, level), pool)
+        for pool in (request.serving.pools.get(upstream) for upstream in ranked)
+    ]
+    # A server that has just failed has a short queue because it is avoided.
+    usable = [w for w in waits if w[1].statistics.avoid_until <= now] or waits
+    for wait, pool in usable:
         if wait <= limit:
             return pool
-    shortest = waits.index(min(waits))
-    left = request.retry_deadline - request.board.now()
-    if waits[shortest] > left:
-        room_in = waits[shortest] - left
-        request.expected_wait = pools[shortest].assign_return(workspace, room_in)
+    left = request.retry_deadline - now
+    shortest, pool = min(usable, key=itemgetter(0))
+    if shortest > left:
+        shortest, pool = min(waits, key=itemgetter(0))
+    if shortest > left:
+        request.expected_wait = pool.assign_return(workspace, shortest - left)
         raise reject(request, "the queues are too long", Obstacle.OVERLOAD)
-    return pools[shortest]
+    return pool
 
 
 async def acquire_for_read(request: StatementRequest, pool: Pool) -> PooledConnection:
