--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -36,6 +36,10 @@
         self._file.write(f"{now - self._started_at:9.3f} {event} {text}\n")
         self._file.flush()
 
+    def close(self) -> None:
+        """Close the file."""
+        self._file.close()
+
 
 def find_free_ports(hosts: list[str], count: int) -> list[int]:
     """Return ports that are free for TCP and UDP at all hosts."""
--- a/review/standins/metastore.py
+++ b/review/standins/metastore.py
@@ -102,6 +102,11 @@
         """Listen on an address."""
         self._server = await asyncio.start_server(self._serve, host, port)
 
+    def close(self) -> None:
+        """Stop listening."""
+        if self._server is not None:
+            self._server.close()
+
     def headers(self) -> str:
         """Return further header lines of each response."""
         return ""
