Limit what callers make a process hold

Cause: listeners accepted without limit, and each connection's reader could hold 2 MiB. The package burdocksail.intake has one ledger for a process (bytes, connections, progress), a reader that buffers 16 KiB until there is room for a larger message, and listeners that turn callers away by a short error. Both front ends, the HTTP pages and the listeners for other instances use it. Connections no longer hold their last statement and answer while they wait for the next one.

--- a/src/burdocksail/board/_metrics.py
+++ b/src/burdocksail/board/_metrics.py
@@ -1,6 +1,7 @@
 """Counters and latency histograms, rendered as text."""
 
 from collections import Counter
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from hdrh.histogram import HdrHistogram
@@ -13,9 +14,10 @@
 
 @dataclass(slots=True)
 class Metrics:
-    """Counters and latency histograms (in microseconds), both by name."""
+    """Counters, gauges and latency histograms (in microseconds), all by name."""
 
     counters: Counter[str] = field(default_factory=Counter)
+    gauges: dict[str, Callable[[], float]] = field(default_factory=dict)
     histograms: dict[str, HdrHistogram] = field(default_factory=dict)
 
     def count(self, name: str, amount: int = 1) -> None:
@@ -44,6 +46,9 @@
             f"burdocksail_{name}_total {value}"
             for name, value in sorted(self.counters.items())
         ]
+        lines += [
+            f"burdocksail_{name} {read()}" for name, read in sorted(self.gauges.items())
+        ]
         for name, histogram in sorted(self.histograms.items()):
             for percentile in PERCENTILES:
                 value = histogram.get_value_at_percentile(percentile) / 1e6
--- a/src/burdocksail/fleet/_peers.py
+++ b/src/burdocksail/fleet/_peers.py
@@ -14,12 +14,14 @@
     encode_snapshot,
 )
 from burdocksail.fleet._messages import Message
+from burdocksail.intake import Intake, Kind, Listener, flush
 
 Address = tuple[str, int]
 Receiver = Callable[[Message, Address], None]
 
 SNAPSHOT_TIMEOUT = 2.0  # seconds; a snapshot has some hundred kilobytes
 MAX_SNAPSHOT_BYTES = 8 << 20  # several times a full configuration
+READ_BYTES = 1 << 12  # nothing is expected from a peer that gets a snapshot
 _LENGTH_PREFIX = struct.Struct(">I")
 
 
@@ -46,6 +48,8 @@
         Returns the snapshot to send to a peer that asks for it.
     report_malformed : callable
         Called with the sender's address and the error for each malformed datagram.
+    intake : Intake or None
+        Limits the connections for snapshots; None sets no limit.
     """
 
     def __init__(
@@ -53,7 +57,9 @@
         receive: Receiver,
         take_snapshot: Callable[[], Snapshot],
         report_malformed: Callable[[Address, MessageError], None],
+        intake: Intake | None = None,
     ):
+        self._intake = intake
         self._receive = receive
         self._take_snapshot = take_snapshot
         self._report_malformed = report_malformed
@@ -66,7 +72,11 @@
         self._transport, _ = await loop.create_datagram_endpoint(
             lambda: self, local_addr=(host, port)
         )
-        self._server = await asyncio.start_server(self._serve_snapshot, host, port)
+        if self._intake is None:
+            self._server = await asyncio.start_server(self._serve_snapshot, host, port)
+        else:
+            listener = Listener(Kind.PEER, b"", READ_BYTES, self._serve_snapshot)
+            self._server = await self._intake.listen(listener, host, port)
 
     def close(self) -> None:
         """Stop listening and sending."""
@@ -132,9 +142,10 @@
         try:
             writer.write(_LENGTH_PREFIX.pack(len(payload)) + payload)
             async with asyncio.timeout(SNAPSHOT_TIMEOUT):
-                await writer.drain()
+                await flush(writer, reader)
                 # Wait until the peer has closed, as it does once it has the snapshot.
-                await reader.read()
+                while await reader.read(READ_BYTES):
+                    pass
         except (OSError, TimeoutError):
             pass  # The peer is gone or too slow; it retries if it needs a snapshot.
         finally:
--- a/src/burdocksail/shell/_peers.py
+++ b/src/burdocksail/shell/_peers.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 
 from burdocksail.core import Instance
+from burdocksail.intake import BudgetedReader, Intake, Kind, Listener
 from burdocksail.node import (
     Event,
     Message,
@@ -53,6 +54,8 @@
         Key of the platform; the same on all instances.
     handle_event : callable
         Called with each event for the node.
+    intake : Intake or None
+        Limits the connections that have not proved to come from an instance.
 
     Attributes
     ----------
@@ -62,8 +65,13 @@
     """
 
     def __init__(
-        self, instance: Instance, shared_key: bytes, handle_event: HandleEvent
+        self,
+        instance: Instance,
+        shared_key: bytes,
+        handle_event: HandleEvent,
+        intake: Intake | None = None,
     ):
+        self._intake = intake
         self._instance = instance
         self._shared_key = shared_key
         self._handle_event = handle_event
@@ -76,7 +84,11 @@
 
     async def start(self, host: str, port: int) -> int:
         """Start to listen for other instances and return the port."""
-        self._server = await asyncio.start_server(self._serve, host, port)
+        if self._intake is None:
+            self._server = await asyncio.start_server(self._serve, host, port)
+        else:
+            listener = Listener(Kind.PEER, b"", READ_CHUNK_BYTES, self._serve)
+            self._server = await self._intake.listen(listener, host, port)
         return self._server.sockets[0].getsockname()[1]
 
     def set_instance(self, instance: Instance) -> None:
@@ -148,6 +160,8 @@
         own_nonce = secrets.token_bytes(NONCE_BYTES)
         async with asyncio.timeout(HELLO_TIMEOUT_S):
             sender, nonce = decode_hello(await _read_frame(reader, decoder))
+        if isinstance(reader, BudgetedReader):
+            self._intake.ledger.remove(reader.account)  # it is an instance
         writer.write(self.make_hello(own_nonce))
         decoder = FrameDecoder(self.frame_key(nonce, own_nonce))
         while data := await reader.read(READ_CHUNK_BYTES):
--- a/src/burdocksail/shell/_process.py
+++ b/src/burdocksail/shell/_process.py
@@ -2,10 +2,12 @@
 
 import asyncio
 import secrets
+from collections import Counter
 from dataclasses import dataclass
 from functools import singledispatchmethod
 
 from burdocksail.core import Instance, SystemClock
+from burdocksail.intake import CallerLimits, Intake
 from burdocksail.node import (
     TICK_INTERVAL,
     CallStore,
@@ -56,6 +58,8 @@
         Key that authenticates frames between instances and consistency tokens.
     seeds : tuple of Instance
         Instances to contact while the store is unreachable.
+    limits : CallerLimits
+        Limits on callers.
     """
 
     name: str
@@ -67,6 +71,7 @@
     store_url: str
     shared_key: bytes
     seeds: tuple[Instance, ...] = ()
+    limits: CallerLimits = CallerLimits()
 
 
 class InstanceProcess:
@@ -78,8 +83,15 @@
         self._replies = ReplyTable()
         self._store = StoreClient(settings.store_url)
         self._upstreams = UpstreamPool(self.handle_event)
-        self._sql = SqlServer(self._make_session, self._find_password_hash)
-        self._status_server = StatusServer(self)
+        clock = SystemClock()
+        self._limit_counts: Counter[str] = Counter()
+        self.intake = Intake(
+            settings.limits,
+            lambda: clock.now().total_seconds(),
+            lambda name: self._limit_counts.update((name,)),
+        )
+        self._sql = SqlServer(self._make_session, self._find_password_hash, self.intake)
+        self._status_server = StatusServer(self, self.intake)
         self._stopped = asyncio.Event()
         self._tasks: set[asyncio.Task] = set()
         incarnation = secrets.token_hex(6)
@@ -90,7 +102,9 @@
             settings.host,
             settings.peer_port,
         )
-        self._peers = PeerNetwork(self.instance, settings.shared_key, self.handle_event)
+        self._peers = PeerNetwork(
+            self.instance, settings.shared_key, self.handle_event, self.intake
+        )
         self.node: Node | None = None
         self.sql_port = 0
         self.admin_port = 0
@@ -112,6 +126,7 @@
         self.node = Node(node_settings, SystemClock(), random_seed)
         self._perform_all(self.node.start())
         self._spawn(self._tick())
+        self._spawn(self.intake.sweep())
         self.sql_port = await self._sql.start(settings.host, settings.sql_port)
         self.admin_port = await self._status_server.start(
             settings.host, settings.admin_port
@@ -201,6 +216,8 @@
                 "peer_bytes_sent": self._peers.bytes_sent,
                 "peer_bytes_received": self._peers.bytes_received,
             },
+            "callers": self.intake.ledger.describe(),
+            "limits_reached": dict(self._limit_counts),
         }
 
     def _make_session(self) -> CallerSession:
--- a/src/burdocksail/shell/_sql_server.py
+++ b/src/burdocksail/shell/_sql_server.py
@@ -22,9 +22,23 @@
 from mysql_mimic.stream import ConnectionClosed, MysqlStream
 
 from burdocksail.core import ResultSet
+from burdocksail.intake import BudgetedReader, Intake, Kind, Listener, flush
 from burdocksail.shell._errors import ShellError
 
 MAX_PACKET_BYTES = 16 * 1024 * 1024
+MAX_LOGIN_BYTES = 1 << 16  # names, an authentication response and attributes
+# Packet, command, text and encoded query of a statement exist at the same time.
+COPIES = 4
+PACKET_TOO_LARGE_ERROR = 1153
+# What a client gets in place of the server's greeting; error 1040 is "too many
+# connections", after which clients come back.
+REFUSAL_TEXT = b"Too many connections; BUSY, retry after 1000 ms"
+REFUSAL = (
+    struct.pack("<I", len(REFUSAL_TEXT) + 3)
+    + b"\xff"
+    + struct.pack("<H", 1040)
+    + REFUSAL_TEXT
+)
 # A packet of this length or more is sent in several parts.
 MAX_PART_BYTES = 0xFFFFFF
 LOGIN_TIMEOUT_S = 10.0
@@ -109,13 +123,17 @@
     find_password_hash : callable
         Returns the hash of an account's password; None if there is no such
         account.
+    intake : Intake or None
+        Limits what clients may hold; None sets no limit.
     """
 
     def __init__(
         self,
         make_session: Callable[[], SqlSession],
         find_password_hash: FindPasswordHash,
+        intake: Intake | None = None,
     ):
+        self._intake = intake
         self._make_session = make_session
         self._identity_provider = _AccountIdentityProvider(find_password_hash)
         self._control = LocalControl()
@@ -127,9 +145,15 @@
 
     async def start(self, host: str, port: int) -> int:
         """Start to listen and return the port."""
-        self._server = await asyncio.start_server(
-            self._serve, host, port, backlog=4096, limit=2**16
-        )
+        if self._intake is None:
+            self._server = await asyncio.start_server(
+                self._serve, host, port, backlog=4096, limit=2**16
+            )
+        else:
+            listener = Listener(
+                Kind.CALLER, REFUSAL, MAX_PACKET_BYTES, self._serve, COPIES
+            )
+            self._server = await self._intake.listen(listener, host, port, 4096)
         return self._server.sockets[0].getsockname()[1]
 
     def stop_listening(self) -> None:
@@ -169,12 +193,17 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         self._next_connection_id += 1
-        stream = _BoundedStream(reader, writer)
+        limit = MAX_PACKET_BYTES
+        if self._intake is not None:
+            limit = min(limit, self._intake.ledger.limits.get_message_bytes(COPIES))
+        stream = _BoundedStream(reader, writer, limit)
         adapter = _SessionAdapter(self._make_session())
         connection = _SqlConnection(
             stream, adapter, self._control, self._identity_provider
         )
         connection.connection_id = self._next_connection_id
+        if isinstance(reader, BudgetedReader):
+            reader.account.is_idle = connection.is_idle
         self.connections[connection.connection_id] = connection
         try:
             await connection.start()
@@ -276,9 +305,11 @@
         finally:
             self.connection.is_running = False
             self.connection.idle_since = asyncio.get_running_loop().time()
-        self.result = result
         if not result.columns:
+            self.result = result
             return None
+        # Only the counts of a result without rows are needed after its answer.
+        self.result = ResultSet()
         return MimicResultSet(result.rows, _get_result_columns(result))
 
 
@@ -298,6 +329,10 @@
         self.started_at = float("-inf")
         self.idle_since = asyncio.get_running_loop().time()
 
+    def is_idle(self) -> bool:
+        """Return whether closing the connection interrupts no work."""
+        return not self.is_running and not self.adapter.sql_session.is_in_transaction()
+
     def is_answering(self) -> bool:
         """Return whether a statement runs or its result is being written."""
         idle_for = asyncio.get_running_loop().time() - self.idle_since
@@ -311,6 +346,14 @@
         except MysqlError as error:
             raise LoginRefusedError(error.msg) from error
 
+    async def command_phase(self) -> None:
+        # The library's loop holds the last packet, twice, while it waits for the next
+        # one. It is run for one packet at a time, so that idle connections hold none.
+        while await self.stream.prefetch():
+            await super().command_phase()
+            if not self.stream.has_ended_packet:
+                return  # The client has quit.
+
     async def authenticate(self, username: str, *args: Any, **kwargs: Any) -> None:
         # After a failure, the library sends an error packet but still continues
         # with the command phase.
@@ -361,16 +404,27 @@
 
 
 class _BoundedStream:
-    """Packet stream that refuses packets larger than `MAX_PACKET_BYTES`.
+    """Packet stream that refuses packets larger than a limit.
 
-    The library's own class is compiled and cannot be subclassed.
+    The library's own class is compiled and cannot be subclassed. Its `drain` passes
+    on what has been written; `flush` then waits until the client has taken it.
     """
 
-    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter):
+    def __init__(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        max_packet_bytes: int = MAX_PACKET_BYTES,
+    ):
+        self._max_packet_bytes = max_packet_bytes
+        self._next_packet: bytes | None = None
+        self._is_prefetching = False
+        self.has_ended_packet = False
         inner = MysqlStream(reader, writer)
         self._inner = inner
         self.reader = reader
         self.writer = writer
+        inner.writer = _FlushingWriter(reader, writer)
         self.write = inner.write
         self.drain = inner.drain
         self.reset_seq = inner.reset_seq
@@ -378,9 +432,37 @@
         self.write_many = inner.write_many
         self.write_text_rows = inner.write_text_rows
 
+    async def prefetch(self) -> bool:
+        """Read the next packet for `read`; return whether there is one.
+
+        From then on, `read` reports the end of the connection after each packet.
+        """
+        self._is_prefetching = True
+        try:
+            self._next_packet = await self._read_packet()
+        except ConnectionClosed:
+            return False
+        self.has_ended_packet = False
+        return True
+
     async def read(self) -> bytes:
+        if not self._is_prefetching:
+            return await self._read_packet()
+        packet, self._next_packet = self._next_packet, None
+        if packet is None:
+            self.has_ended_packet = True
+            raise ConnectionClosed
+        return packet
+
+    async def _read_packet(self) -> bytes:
         parts = []
         size = 0
+        budgeted = isinstance(self.reader, BudgetedReader)
+        limit = self._max_packet_bytes
+        if budgeted:
+            self.reader.end_request()
+            if self._is_first_packet:
+                limit = MAX_LOGIN_BYTES
         while True:
             try:
                 header = await self.reader.readexactly(4)
@@ -389,10 +471,12 @@
             (word,) = _HEADER.unpack(header)
             length = word & MAX_PART_BYTES
             size += length
-            if size > MAX_PACKET_BYTES:
+            if size > limit:
                 raise MysqlError(
-                    f"packets over {MAX_PACKET_BYTES} bytes are refused", 1153
+                    f"packets over {limit} bytes are refused", PACKET_TOO_LARGE_ERROR
                 )
+            if budgeted:
+                self.reader.expect(length)
             expected = next(self._inner.seq)
             if word >> 24 != expected:
                 raise MysqlError("packets out of order", ErrorCode.MALFORMED_PACKET)
@@ -415,6 +499,19 @@
         return packet + LOGIN_STRING_COUNT * b"\0"
 
 
+class _FlushingWriter:
+    """Writer for the library, with a `drain` that limits how slowly clients read."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter):
+        self._reader = reader
+        self._writer = writer
+        self.write = writer.write
+
+    async def drain(self) -> None:
+        """Wait until the client has taken what was written."""
+        await flush(self._writer, self._reader)
+
+
 def _encode_raw(column: ResultColumn, value: bytes) -> bytes:
     return value
 
--- a/src/burdocksail/tools/_main.py
+++ b/src/burdocksail/tools/_main.py
@@ -16,6 +16,7 @@
 import typer
 
 from burdocksail.core import BurdocksailError, seconds
+from burdocksail.intake import derive_limits
 from burdocksail.shell import InstanceProcess, InstanceSettings, configure_logging
 from burdocksail.standin import StandInGroup, StandInGroupSettings, StoreServer
 from burdocksail.tools._demo import run_demo
@@ -25,14 +26,17 @@
 from burdocksail.tools._load import LoadSettings, run_load
 from burdocksail.tools._records import apply_record, check_record, list_records
 from burdocksail.tools._settings import (
+    check_amount,
     check_host,
     check_port,
     check_url,
+    parse_limits,
     parse_seeds,
     read_key,
 )
 
 PLOT_SUFFIXES = (".png", ".svg", ".pdf")
+OWN_MEMORY_MB = 88  # measured: 80 without callers; the rest is for larger fleets
 EXIT_FAILURE = 1
 EXIT_USAGE = 2
 ENVIRONMENT_PREFIX = "BURDOCKSAIL"
@@ -76,6 +80,15 @@
     log_level: Annotated[
         str, typer.Option(help="debug, info, warning, error.")
     ] = "info",
+    memory_mb: Annotated[
+        float, typer.Option(help="Memory of the process in MiB; 0 if not known.")
+    ] = 0.0,
+    max_fds: Annotated[
+        int, typer.Option(help="Open descriptors; 0 for the limit of the system.")
+    ] = 0,
+    caller_limits: Annotated[
+        str, typer.Option(help="Limits on callers as NAME=VALUE, by commas.")
+    ] = "",
 ) -> None:
     """Run an instance until SIGTERM or SIGINT, then stop it gracefully."""
     settings = InstanceSettings(
@@ -88,6 +101,15 @@
         store_url=check_url("--store-url", store_url),
         shared_key=read_key("--shared-key", shared_key, shared_key_file),
         seeds=parse_seeds("--seeds", seeds),
+        limits=parse_limits(
+            "--caller-limits",
+            caller_limits,
+            derive_limits(
+                check_amount("--memory-mb", memory_mb) or None,
+                int(check_amount("--max-fds", max_fds)) or None,
+                OWN_MEMORY_MB,
+            ),
+        ),
     )
     if log_level not in ("debug", "info", "warning", "error"):
         raise SettingError("--log-level", f"{log_level!r} is not a log level")
--- a/src/burdocksail/tools/_settings.py
+++ b/src/burdocksail/tools/_settings.py
@@ -8,6 +8,7 @@
 from urllib.parse import urlsplit
 
 from burdocksail.core import Instance
+from burdocksail.intake import CallerLimits, LimitError, override_limits
 from burdocksail.tools._errors import SettingError
 
 MIN_KEY_BYTES = 16
@@ -40,6 +41,40 @@
     return port
 
 
+def check_amount(flag: str, amount: float) -> float:
+    """Return `amount` if it is a number of 0 or more.
+
+    Raises
+    ------
+    SettingError
+        If it is not.
+    """
+    if not 0 <= amount < float("inf"):
+        raise SettingError(flag, f"{amount} is not a number of 0 or more")
+    return amount
+
+
+def parse_limits(flag: str, text: str, limits: CallerLimits) -> CallerLimits:
+    """Return limits in which ``name=value`` items, separated by commas, replace some.
+
+    Raises
+    ------
+    SettingError
+        If an item is malformed, or names no limit.
+    """
+    values = {}
+    for item in filter(None, (part.strip() for part in text.split(","))):
+        name, _, value = item.partition("=")
+        try:
+            values[name.strip()] = float(value)
+        except ValueError as error:
+            raise SettingError(flag, f"{item!r} is not name=value") from error
+    try:
+        return override_limits(limits, values)
+    except LimitError as error:
+        raise SettingError(flag, str(error)) from error
+
+
 def check_url(flag: str, text: str) -> str:
     """Return `text` if it is an HTTP URL whose host is an IP address.
 
