--- a/src/burdocksail/intake/_ledger.py
+++ b/src/burdocksail/intake/_ledger.py
@@ -135,6 +135,12 @@
     _swept_at: float | None = None
     _lost_time: float = 0.0
     _searched_at: float = float("-inf")
+    _coarse_now: float = 0.0  # time of the last sweep; read with each message
+    _pressure_bytes: float = 0.0
+
+    def __post_init__(self) -> None:
+        self._coarse_now = self.clock()
+        self._pressure_bytes = PRESSURE * self.limits.held_bytes
 
     def admit(self, kind: Kind, close: Callable[[Closing], None]) -> Account | None:
         """Return the account of a new connection, None if it is turned away.
@@ -171,7 +177,7 @@
 
     def get_read_ahead(self) -> float:
         """Return the bytes that a connection may buffer while it is not read."""
-        if self.used > PRESSURE * self.limits.held_bytes:
+        if self.used > self._pressure_bytes:
             return min(READ_AHEAD_UNDER_PRESSURE, self.limits.read_ahead_bytes)
         return self.limits.read_ahead_bytes
 
@@ -179,11 +185,18 @@
         """Record the bytes of input that a connection holds now."""
         if account.is_closed:
             return
-        before = account.held
-        if size > account.input_bytes:
-            account.moved += size - account.input_bytes
-        account.input_bytes = size
-        self._change(account.held - before)
+        amount = size - account.input_bytes
+        if amount > 0:
+            account.moved += amount
+        if account.reserved_bytes:
+            before = account.held
+            account.input_bytes = size
+            amount = account.held - before
+        else:
+            account.input_bytes = size
+        self.used += amount
+        if amount > 0 and self.used > self.peak:
+            self._note_peak()
 
     def set_output(self, account: Account, size: int) -> None:
         """Record the bytes of an answer that has not been taken."""
@@ -200,7 +213,7 @@
 
     def end_message(self, account: Account) -> None:
         """Record that a message is complete; its room is kept until `end_request`."""
-        account.active_at = self._now()
+        account.active_at = self._coarse_now
         account.has_greeted = True
         if account.phase is not None:
             self._unwatch(account)
@@ -247,6 +260,7 @@
         now = self.clock()
         elapsed = SWEEP_INTERVAL if self._swept_at is None else now - self._swept_at
         self._swept_at = now
+        self._coarse_now = now - self._lost_time
         if elapsed > 2 * SWEEP_INTERVAL:
             # The process did not run, so that callers could make no progress.
             self._lost_time += elapsed - SWEEP_INTERVAL
@@ -285,7 +299,14 @@
     def _change(self, amount: int) -> None:
         self.used += amount
         if self.used > self.peak:
-            self.peak = self.used
+            self._note_peak()
+
+    def _note_peak(self) -> None:
+        """Record a peak, and close connections if it is over the limit.
+
+        The peak is kept below the limit, so that it is passed each time.
+        """
+        self.peak = min(self.used, int(self.limits.held_bytes))
         if self.used > self.limits.held_bytes:
             self._relieve()
 
--- a/src/burdocksail/intake/_listeners.py
+++ b/src/burdocksail/intake/_listeners.py
@@ -19,12 +19,13 @@
 from burdocksail.intake._readers import LARGE_CHUNK_BYTES, BudgetedReader
 
 # Connections that are accepted in one turn of the loop are open before they can be
-# turned away; the reserve of descriptors covers them.
-ACCEPT_BATCH = 16
+# turned away, and some turns pass until they are closed. The reserve of descriptors
+# covers these.
+ACCEPT_BATCH = 4
 BACKLOG = 1024
 # A socket closed with unread input resets the connection, which loses the refusal.
 LINGER_TIME = 0.3  # seconds
-MAX_LINGERING = 16
+MAX_LINGERING = 8
 LOG_INTERVAL = 1.0  # seconds between two lines about one limit
 
 Serve = Callable[[BudgetedReader, asyncio.StreamWriter], Awaitable[None]]
@@ -223,4 +224,6 @@
         if unsent:
             await reader.deliver(writer, unsent)
             return
+        if not writer.transport.is_closing():
+            return
     await writer.drain()
--- a/src/burdocksail/intake/_readers.py
+++ b/src/burdocksail/intake/_readers.py
@@ -128,6 +128,10 @@
             await self._wait(n)
         return self._take(n)
 
+    def take(self, n: int) -> bytes | None:
+        """Return the next `n` bytes if they have arrived, else None."""
+        return self._take(n) if len(self._data) >= n else None
+
     async def read(self, n: int = -1) -> bytes:
         """Return up to `n` bytes of what has arrived, empty at the end.
 
--- a/src/burdocksail/shell/_process.py
+++ b/src/burdocksail/shell/_process.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import secrets
+import time
 from collections import Counter
 from dataclasses import dataclass
 from functools import singledispatchmethod
@@ -83,11 +84,10 @@
         self._replies = ReplyTable()
         self._store = StoreClient(settings.store_url)
         self._upstreams = UpstreamPool(self.handle_event)
-        clock = SystemClock()
         self._limit_counts: Counter[str] = Counter()
         self.intake = Intake(
             settings.limits,
-            lambda: clock.now().total_seconds(),
+            time.monotonic,
             lambda name: self._limit_counts.update((name,)),
         )
         self._sql = SqlServer(self._make_session, self._find_password_hash, self.intake)
--- a/src/burdocksail/shell/_sql_server.py
+++ b/src/burdocksail/shell/_sql_server.py
@@ -475,15 +475,18 @@
                 raise MysqlError(
                     f"packets over {limit} bytes are refused", PACKET_TOO_LARGE_ERROR
                 )
-            if budgeted:
-                self.reader.expect(length)
             expected = next(self._inner.seq)
             if word >> 24 != expected:
                 raise MysqlError("packets out of order", ErrorCode.MALFORMED_PACKET)
-            try:
-                parts.append(await self.reader.readexactly(length))
-            except asyncio.IncompleteReadError as error:
-                raise ConnectionClosed from error
+            part = self.reader.take(length) if budgeted else None
+            if part is None:
+                if budgeted:
+                    self.reader.expect(length)
+                try:
+                    part = await self.reader.readexactly(length)
+                except asyncio.IncompleteReadError as error:
+                    raise ConnectionClosed from error
+            parts.append(part)
             if length < MAX_PART_BYTES:
                 return self._append_string_terminators(b"".join(parts))
 
