--- a/src/burdocksail/shell/_sql_server.py
+++ b/src/burdocksail/shell/_sql_server.py
@@ -347,6 +347,9 @@
             raise LoginRefusedError(error.msg) from error
 
     async def command_phase(self) -> None:
+        if not isinstance(self.stream.reader, BudgetedReader):
+            await super().command_phase()
+            return
         # The library's loop holds the last packet, twice, while it waits for the next
         # one. It is run for one packet at a time, so that idle connections hold none.
         while await self.stream.prefetch():
@@ -424,7 +427,8 @@
         self._inner = inner
         self.reader = reader
         self.writer = writer
-        inner.writer = _FlushingWriter(reader, writer)
+        if isinstance(reader, BudgetedReader):
+            inner.writer = _FlushingWriter(reader, writer)
         self.write = inner.write
         self.drain = inner.drain
         self.reset_seq = inner.reset_seq
