--- a/src/burdocksail/serving/_pools.py
+++ b/src/burdocksail/serving/_pools.py
@@ -20,7 +20,7 @@
     UpstreamConnection,
 )
 from burdocksail.serving._budget import compute_budget
-from burdocksail.serving._statistics import ServerStatistics
+from burdocksail.serving._statistics import ServerStatistics, find_shared_speed
 from burdocksail.traffic import DrainRate, OpeningWindow
 
 CONNECT_TIMEOUT = 1.0  # seconds; several round trips across regions and a handshake
@@ -427,7 +427,9 @@
         return {
             upstream_id: {
                 "size": pool.size,
-                **pool.statistics.describe(self._board.now()),
+                **pool.statistics.describe(
+                    self._board.now(), *find_shared_speed(self._board, pool.upstream)
+                ),
             }
             for upstream_id, pool in self._pools.items()
         }
--- a/src/burdocksail/serving/_routing.py
+++ b/src/burdocksail/serving/_routing.py
@@ -4,7 +4,7 @@
 from burdocksail.catalog import Route, Upstream, UpstreamState
 from burdocksail.serving._context import ServingContext
 from burdocksail.serving._freshness import Floor
-from burdocksail.serving._work import find_shared_speed
+from burdocksail.serving._statistics import find_shared_speed
 from burdocksail.traffic import ServerLoad, find_ejected, rank_by_cost
 
 # Assumed round trips in seconds, by distance. They are part of the cost beside the
--- a/src/burdocksail/serving/_statistics.py
+++ b/src/burdocksail/serving/_statistics.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass, field
 
+from burdocksail.board import Blackboard
+from burdocksail.catalog import Upstream
 from burdocksail.traffic import (
     ConcurrencyLimit,
     KneeEstimate,
@@ -12,6 +14,7 @@
 )
 
 LATENCY_WEIGHT = 0.1  # of the newest sample in the moving average
+SHARED_HALF_LIFE = 1.0  # seconds; grants come every 0.3 s
 
 
 @dataclass(slots=True)
@@ -75,15 +78,23 @@
             self.pending.compute_least_factor(now),
         )
 
-    def describe(self, now: float) -> dict[str, float | int | None]:
-        """Return what has been learned of the server, for the dump."""
+    def describe(
+        self, now: float, other_log_ratio: float, other_weight: float
+    ) -> dict[str, float | int | None]:
+        """Return what has been learned of the server, for the dump.
+
+        The other arguments are as those of `SpeedEstimate.compute_factor`.
+        """
         limit = self.concurrency.limit
         return {
             "in_flight": len(self.pending),
             "latency_ms": round(self.latency * 1000, 2),
             "round_trip_ms": round(self.round_trip * 1000, 2),
-            "slow_factor": round(self.compute_slow_factor(now), 2),
+            "slow_factor": round(
+                self.compute_slow_factor(now, other_log_ratio, other_weight), 2
+            ),
             "slow_factor_samples": round(self.speed.compute_weight(now), 1),
+            "slow_factor_shared": round(other_weight, 1),
             "limit": None if limit is None else round(limit, 1),
             "is_delayed": self.concurrency.is_delayed,
         }
@@ -91,3 +102,16 @@
     def record_latency(self, seconds: float) -> None:
         """Add a reply's latency, in seconds, to the moving average."""
         self.latency += LATENCY_WEIGHT * (seconds - self.latency)
+
+
+def find_shared_speed(board: Blackboard, upstream: Upstream) -> tuple[float, float]:
+    """Return what other instances have learned: logarithm of the factor, and weight.
+
+    It fades if no grant renews it.
+    """
+    found = board.speeds.shared.get(upstream.id)
+    if found is None or found[0].started_at_ms != upstream.started_at_ms:
+        return 0.0, 0.0
+    speed, told_at = found
+    fading = 0.5 ** ((board.now() - told_at) / SHARED_HALF_LIFE)
+    return speed.log_ratio, speed.weight * fading
--- a/src/burdocksail/serving/_work.py
+++ b/src/burdocksail/serving/_work.py
@@ -21,7 +21,6 @@
 SLOW_REPORT_FACTOR = 2.0
 FAST_AGAIN_FACTOR = 1.3
 REPORT_INTERVAL = 5.0  # seconds between two lines on one server
-SHARED_HALF_LIFE = 1.0  # seconds; grants come every 0.3 s
 MIN_LENGTH = 0.1  # of the usual run time; shorter ones tell no more than this
 
 
@@ -88,19 +87,6 @@
     return statistics.round_trip + run_time
 
 
-def find_shared_speed(board: Blackboard, upstream: Upstream) -> tuple[float, float]:
-    """Return what other instances have learned: logarithm of the factor, and weight.
-
-    It fades if no grant renews it.
-    """
-    found = board.speeds.shared.get(upstream.id)
-    if found is None or found[0].started_at_ms != upstream.started_at_ms:
-        return 0.0, 0.0
-    speed, told_at = found
-    fading = 0.5 ** ((board.now() - told_at) / SHARED_HALF_LIFE)
-    return speed.log_ratio, speed.weight * fading
-
-
 def _publish_speed(board: Blackboard, pool: Pool, now: float) -> None:
     """Write what has been learned of a server to the blackboard."""
     upstream, speed = pool.upstream, pool.statistics.speed
