--- a/src/burdocksail/traffic/_work.py
+++ b/src/burdocksail/traffic/_work.py
@@ -106,13 +106,18 @@
     ) -> float:
         """Return the expected run time of a kind of work at a server, in seconds.
 
+        0 if that kind has not been seen.
+
         Parameters
         ----------
         factor : float
             Learned factor on run times at the server, used where it has not run that
             kind lately.
         """
-        own = self._kinds.get(kind, {}).get(server)
+        means = self._kinds.get(kind)
+        if not means:
+            return 0.0
+        own = means.get(server)
         if own is not None and own.compute_weight(now) >= 1.0:
             return math.exp(own.mean)
         return factor * self.estimate(kind)
--- a/src/burdocksail/traffic/capacity_test.py
+++ b/src/burdocksail/traffic/capacity_test.py
@@ -118,6 +118,15 @@
         self.assertAlmostEqual(times.estimate("kept"), 0.2)
         self.assertLess(len(times._kinds), 300)
 
+    def test_run_time_at_a_server_is_its_own_where_it_is_known(self):
+        """Writes run at one server only, so its factor is in their times already."""
+        times = WorkTimes()
+        self.assertEqual(times.estimate_at("write", "a", 5.0, 10.0), 0.0)
+        for number in range(3):
+            times.record("write", "a", 0.4, 10.0 + number, has_peers=False)
+        self.assertAlmostEqual(times.estimate_at("write", "a", 5.0, 13.0), 0.4)
+        self.assertAlmostEqual(times.estimate_at("write", "b", 5.0, 13.0), 2.0)
+
     def test_restarted_servers_leave_no_samples_behind(self):
         times = WorkTimes()
         for restart in range(100):
