--- a/src/burdocksail/authority/_speeds.py
+++ b/src/burdocksail/authority/_speeds.py
@@ -4,7 +4,6 @@
 requests of its own callers that a server is slow, and later that it has recovered.
 """
 
-import math
 from collections import defaultdict
 from collections.abc import Iterable
 
@@ -22,6 +21,9 @@
 MIN_REPORTERS = 2
 MAX_REPORT_WEIGHT = 2.0
 MAX_MERGED_WEIGHT = 3.0
+# Beyond what any instance learns; another process may send anything.
+MAX_LOG_RATIO = 5.0
+MAX_WEIGHT = 100.0
 
 
 def collect_speeds(board: Blackboard) -> tuple[ServerSpeed, ...]:
@@ -70,7 +72,7 @@
 
 
 def _is_usable(speed: ServerSpeed) -> bool:
-    return math.isfinite(speed.log_ratio) and 0.0 < speed.weight < math.inf
+    return abs(speed.log_ratio) <= MAX_LOG_RATIO and 0.0 < speed.weight <= MAX_WEIGHT
 
 
 def _select(speeds: list[ServerSpeed]) -> tuple[ServerSpeed, ...]:
--- a/src/burdocksail/authority/speeds_test.py
+++ b/src/burdocksail/authority/speeds_test.py
@@ -76,10 +76,14 @@
     def test_unusable_and_excess_reports_are_left_out(self):
         bad = [
             ServerSpeed("s1", 1, math.nan, 1.0),
+            ServerSpeed("s1", 1, 1e300, 1.0),
             ServerSpeed("s1", 1, 1.0, math.inf),
             ServerSpeed("s1", 1, 1.0, -1.0),
         ]
         self.assertEqual(merge_speeds([bad, bad]), ())
+        board = make_board()
+        store_shared_speeds(board, bad)
+        self.assertEqual(board.speeds.shared, {})
         many = [ServerSpeed(f"s{n}", 1, TENTH, 1.0) for n in range(100)]
         self.assertEqual(len(merge_speeds([many, many])), MAX_SPEEDS)
 
