--- a/src/burdocksail/serving/_pool.py
+++ b/src/burdocksail/serving/_pool.py
@@ -13,7 +13,7 @@
 from burdocksail.serving._budget import compute_budget
 from burdocksail.serving._connections import Lease, NoConnection, PooledConnection
 from burdocksail.serving._pool_workspaces import PoolWorkspaces, describe_workspaces
-from burdocksail.serving._statistics import ServerStatistics
+from burdocksail.serving._statistics import ServerStatistics, find_shared_speed
 from burdocksail.traffic import (
     Demand,
     DrainRate,
@@ -256,7 +256,9 @@
         """
         described: dict[str, Any] = {
             "size": self.size,
-            **self.statistics.describe(self._board.now()),
+            **self.statistics.describe(
+                self._board.now(), *find_shared_speed(self._board, self.upstream)
+            ),
         }
         if self._workspaces.are_configured:
             described["waiting"] = self.waiting
