--- a/src/burdocksail/intake/_limits.py
+++ b/src/burdocksail/intake/_limits.py
@@ -19,7 +19,7 @@
 
 # Descriptors kept for servers, peers, store, probes, and callers being turned away.
 RESERVE_SHARE = 0.15
-LEAST_RESERVE = 48
+LEAST_RESERVE = 64
 MOST_RESERVE = 1024
 LEAST_CONNECTIONS = 16
 
--- a/src/burdocksail/intake/ledger_test.py
+++ b/src/burdocksail/intake/ledger_test.py
@@ -233,7 +233,7 @@
         self.assertGreater(limits.get_message_bytes(2), MIB)
 
     def test_descriptors_are_reserved(self):
-        self.assertLessEqual(derive_limits(None, 200, 40).connections, 200 - 48)
+        self.assertLessEqual(derive_limits(None, 200, 40).connections, 200 - 64)
 
     def test_unknown_limit_is_refused(self):
         for values in ({"bytes": 1}, {"connections": 0}, {"message_s": float("nan")}):
