--- a/benchmarks/quotas.py
+++ b/benchmarks/quotas.py
@@ -35,7 +35,7 @@
 def play_moving(world: QuotaWorld):
     """Return the usual load, from one failure domain after the other."""
 
-    def choose(at: float):
+    def choose(at: float, name: str):
         domain = str(int(at / 2.0) % 3)
         hosts = [
             i for i in world.by_host.values() if i.board.member.failure_domain == domain
--- a/src/burdocksail/agent/_instance.py
+++ b/src/burdocksail/agent/_instance.py
@@ -94,7 +94,7 @@
             AllowanceHolder(
                 board,
                 lambda address, message: self._peers.send(address, message),
-                lambda request: self._authority.issue_allowances(request),
+                lambda *demands: self._authority.issue_allowances(*demands),
             ),
         )
         self._peers = make_peers(
@@ -117,7 +117,7 @@
             connector,
             promoter,
             self._snapshots,
-            self.serving.allowances.handle_grant,
+            self.serving.allowances,
         )
         self._registration = Registration(board, store)
         self._prober = PrimaryProber(board, self._pools)
--- a/src/burdocksail/authority/_allowances.py
+++ b/src/burdocksail/authority/_allowances.py
@@ -1,28 +1,30 @@
 """Tokens for the quotas of workspaces, as the leader hands them out in one epoch."""
 
+import math
 from collections import OrderedDict
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from burdocksail.board import Blackboard, Member
+from burdocksail.board import Blackboard, Member, count_leaderships
 from burdocksail.catalog import Catalog, Workspace
 from burdocksail.fleet import (
     Address,
     Allowance,
     AllowanceDemand,
-    AllowanceGrant,
+    AllowanceDemands,
     AllowanceHandover,
-    AllowanceRequest,
+    Allowances,
     Peers,
     Renew,
 )
 from burdocksail.traffic import (
     FLOOR_DELAY,
-    TOKEN_LIFETIME,
     AllowanceBucket,
     AllowanceLedger,
     AllowanceLimit,
     HeardTime,
+    TokenDemand,
+    compute_credit_share,
     compute_limit,
     find_slot,
 )
@@ -38,6 +40,10 @@
 INHERITING_SHARE = 0.5
 MAX_RESTS = 100_000  # many times the workspaces of a configuration
 RESTS_PER_MESSAGE = 20  # with long names of workspaces, below 1,200 bytes
+# Seconds from the start of a leadership in which its credit can be granted, whatever
+# the bucket holds. A window that holds such a grant holds that beginning, or begins
+# this much later.
+CREDIT_TIME = 3.0
 DESCRIBED_WORKSPACES = 10
 
 
@@ -63,14 +69,14 @@
     """Latest answers to one run of an instance, so that none is given twice."""
 
     incarnation: str
-    answers: OrderedDict[int, AllowanceGrant] = field(default_factory=OrderedDict)
+    answers: OrderedDict[int, Allowances] = field(default_factory=OrderedDict)
 
     def is_outdated(self, number: int) -> bool:
         """Return whether an answer to this request may have been forgotten."""
         is_full = len(self.answers) >= MAX_ANSWERS
         return is_full and number < next(iter(self.answers))
 
-    def record(self, number: int, answer: AllowanceGrant) -> None:
+    def record(self, number: int, answer: Allowances) -> None:
         """Record an answer and forget the one to the lowest number."""
         self.answers[number] = answer
         if len(self.answers) > MAX_ANSWERS:
@@ -106,7 +112,9 @@
         self._instances = 0
         self._counted_at = float("-inf")
         self._is_closed = False
-        self._credit_share = self._compute_credit_share()
+        # Leaderships that began before this one, at clock readings.
+        self._began_at = board.now()
+        self._earlier = board.quotas.leader_changes.copy()
         self._received: set[tuple[int, str]] = set()
         self._inherited: dict[str, float] = {}
         self._rests: list[Allowance] = []
@@ -133,30 +141,31 @@
             known.until = max(known.until, until)
         self._count_instances(now)
 
-    def answer(self, request: AllowanceRequest) -> AllowanceGrant | None:
-        """Return the grant for a request; None if it is of another epoch or too old.
+    def answer(
+        self, member: Member, epoch: int, demands: AllowanceDemands
+    ) -> Allowances | None:
+        """Return the answer to demands; None if of another epoch or too old.
 
-        A request that arrives again is given the same answer.
+        Demands that arrive again are given the same answer.
         """
         is_in_use = self._board.quotas.bounds is not None and not self._is_closed
-        if request.epoch != self._epoch or not is_in_use:
+        if epoch != self._epoch or not is_in_use:
             return None
-        answered = self._find_answered(request.member)
-        known = answered.answers.get(request.number)
-        if known is not None or answered.is_outdated(request.number):
+        answered = self._find_answered(member)
+        known = answered.answers.get(demands.number)
+        if known is not None or answered.is_outdated(demands.number):
             return known
         now = self._board.now()
         self._count_instances(now)
         self._apply_catalog(now)
-        grant = AllowanceGrant(
-            self._board.member,
-            self._epoch,
-            request.number,
+        answer = Allowances(
+            demands.number,
             find_slot(now),
-            tuple(self._allow(request.member.name, d, now) for d in request.demands),
+            0 if self._catalog is None else self._catalog.version,
+            tuple(self._allow(member.name, d, now) for d in demands.demands),
         )
-        answered.record(request.number, grant)
-        return grant
+        answered.record(demands.number, answer)
+        return answer
 
     def close(self) -> None:
         """Stop issuing tokens, and note what is left for the next leader."""
@@ -198,14 +207,11 @@
     def _inherit(self, name: str, tokens: float) -> None:
         self._inherited[name] = self._inherited.get(name, 0.0) + tokens
 
-    def _compute_credit_share(self) -> float:
-        """Return the part of the credit that is left by other leaderships."""
-        quotas = self._board.quotas
-        if quotas.bounds is None:
-            return 0.0
-        span = quotas.bounds.window + TOKEN_LIFETIME
-        # This leadership is not recorded yet.
-        return 0.5 ** quotas.count_leaderships(self._board.now() - span)
+    def _compute_credit(self, limit: AllowanceLimit) -> float:
+        """Return the tokens with which this leadership begins."""
+        span = self._board.quotas.bounds.window + limit.lifetime + CREDIT_TIME
+        earlier = count_leaderships(self._earlier, self._began_at - span)
+        return limit.credits * compute_credit_share(earlier)
 
     def describe(self) -> dict[str, object]:
         """Return the state of the largest workspaces, as shown in the state dump."""
@@ -236,19 +242,26 @@
         if workspace is None:
             return Allowance(demand.workspace, 0, FLOOR_DELAY)
         ledger = self._fill(workspace, now)
-        if demand.returned > 0:
-            ledger.give_back(demand.returned_slot, demand.returned)
-        rate = self._limits[workspace.name].rate * self._heard_time.share
+        returned = 0
+        if demand.returned is not None and demand.returned_slot is not None:
+            returned = ledger.give_back(demand.returned_slot, demand.returned)
+        limit = self._limits[workspace.name]
+        share = self._heard_time.share
         is_usual = 0.0 <= demand.rate <= MAX_DEMAND
         granted, wait = ledger.grant(
-            instance,
-            demand.wanted,
-            demand.urgent,
-            demand.rate if is_usual else 0.0,
+            TokenDemand(
+                instance,
+                demand.wanted,
+                demand.urgent,
+                demand.rate if is_usual else 0.0,
+                demand.idle if demand.idle >= 0.0 else math.inf,
+                returned,
+            ),
             now,
-            rate,
+            limit.rate * share,
+            limit.depth * share,
         )
-        return Allowance(workspace.name, granted, wait)
+        return Allowance(workspace.name, granted, wait or None)
 
     def _find_workspace(self, name: str) -> Workspace | None:
         """Return the workspace of a name, None if it is unknown or has no rate."""
@@ -272,10 +285,12 @@
         ledger = self._ledgers.get(workspace.name)
         if ledger is None:
             # Its bucket has been filling since this leadership began.
-            ledger = AllowanceLedger(AllowanceBucket(now), 0.0)
+            bucket = AllowanceBucket(now, self._compute_credit(limit))
+            ledger = AllowanceLedger(bucket, 0.0)
             self._ledgers[workspace.name] = ledger
-            self._inherit(workspace.name, limit.credit * self._credit_share)
         ledger.fill(now, limit, self._heard_time)
+        if now >= self._began_at + CREDIT_TIME:
+            ledger.bucket.lapse_credit()
         if self._heard_time.share >= INHERITING_SHARE:
             # Before, the depth of the bucket would not hold them.
             ledger.bucket.add(self._inherited.pop(workspace.name, 0.0))
--- a/src/burdocksail/authority/_controller.py
+++ b/src/burdocksail/authority/_controller.py
@@ -5,21 +5,22 @@
 """
 
 import asyncio
-from collections.abc import Callable
 from typing import Any
 
 from burdocksail.authority._claims import Claimant
-from burdocksail.authority._follower import Follower
+from burdocksail.authority._follower import AllowanceClient, Follower
 from burdocksail.authority._leadership import Leadership
 from burdocksail.authority._record import RecordError, decode_record
 from burdocksail.authority._watchdog import Watchdog
-from burdocksail.board import Blackboard
+from burdocksail.board import Blackboard, Member
 from burdocksail.core import get_logger
 from burdocksail.fleet import (
     Address,
+    AllowanceDemands,
     AllowanceGrant,
     AllowanceHandover,
     AllowanceRequest,
+    Allowances,
     Farewell,
     Grant,
     LeaderQuery,
@@ -46,8 +47,8 @@
 
     Parameters
     ----------
-    receive_allowances : callable
-        Called with each grant of tokens for the quotas of workspaces.
+    allowances : AllowanceClient
+        Holds this instance's tokens for the quotas of workspaces.
     """
 
     def __init__(
@@ -58,7 +59,7 @@
         connector: Connector,
         promoter: Promoter,
         snapshots: SnapshotExchange,
-        receive_allowances: Callable[[AllowanceGrant], None],
+        allowances: AllowanceClient,
     ):
         self._board = board
         self._store = store
@@ -66,7 +67,7 @@
         self._connector = connector
         self._promoter = promoter
         self._snapshots = snapshots
-        self._follower = Follower(board, peers, snapshots)
+        self._follower = Follower(board, peers, snapshots, allowances)
         self._claimant = Claimant(
             board, store, peers, self._begin_leadership, self._get_leadership
         )
@@ -81,7 +82,7 @@
             TakeOver: self._handle_take_over,
             Farewell: self._handle_farewell,
             AllowanceRequest: self._handle_allowance_request,
-            AllowanceGrant: lambda m, _: receive_allowances(m),
+            AllowanceGrant: lambda m, _: allowances.receive(m.epoch, m.allowances),
             AllowanceHandover: lambda m, _: self._handle_allowance_handover(m),
         }
         self._log = get_logger()
@@ -90,11 +91,13 @@
         """Return whether this instance leads, as far as it knows."""
         return self._leadership is not None and not self._leadership.ended
 
-    def issue_allowances(self, request: AllowanceRequest) -> AllowanceGrant | None:
-        """Return the tokens for a request; None while this instance does not lead."""
-        return (
-            self._leadership.allowances.answer(request) if self.is_leading() else None
-        )
+    def issue_allowances(
+        self, member: Member, epoch: int, demands: AllowanceDemands
+    ) -> Allowances | None:
+        """Return the answer to demands; None while this instance does not lead."""
+        if not self.is_leading():
+            return None
+        return self._leadership.allowances.answer(member, epoch, demands)
 
     def describe_allowances(self) -> dict[str, Any] | None:
         """Return the state of the buckets, None while this instance does not lead."""
@@ -210,8 +213,9 @@
     def _handle_allowance_request(
         self, request: AllowanceRequest, address: Address
     ) -> None:
-        grant = self.issue_allowances(request)
-        if grant is not None:
+        answer = self.issue_allowances(request.member, request.epoch, request.demands)
+        if answer is not None:
+            grant = AllowanceGrant(self._board.member, request.epoch, answer)
             self._peers.send(address, grant)
         elif not self.is_leading():
             authority = self._board.authority
--- a/src/burdocksail/authority/_follower.py
+++ b/src/burdocksail/authority/_follower.py
@@ -5,6 +5,8 @@
 
 import asyncio
 import random
+from dataclasses import replace
+from typing import Protocol
 
 from burdocksail.authority._limits import (
     LEASE_DURATION,
@@ -16,6 +18,8 @@
 from burdocksail.core import get_logger
 from burdocksail.fleet import (
     Address,
+    AllowanceDemands,
+    Allowances,
     Farewell,
     Grant,
     LeaderQuery,
@@ -49,13 +53,30 @@
     )
 
 
+class AllowanceClient(Protocol):
+    """Wants tokens for the quotas of workspaces, and is given them."""
+
+    def collect_demands(self) -> AllowanceDemands | None:
+        """Return the demands for the next renewal, None without any."""
+
+    def receive(self, epoch: int, allowances: Allowances) -> None:
+        """Add the tokens of an answer."""
+
+
 class Follower:
     """Renews the lease with the leader and applies the leader's view."""
 
-    def __init__(self, board: Blackboard, peers: Peers, snapshots: SnapshotExchange):
+    def __init__(
+        self,
+        board: Blackboard,
+        peers: Peers,
+        snapshots: SnapshotExchange,
+        allowances: AllowanceClient,
+    ):
         self._board = board
         self._peers = peers
         self._snapshots = snapshots
+        self._allowances = allowances
         self._random = random.Random(board.member.incarnation)
         self._started_at = board.now()
         self._adopted_at = float("-inf")
@@ -83,6 +104,9 @@
             targets = board.members.sample_addresses(own, self._random)
         else:
             targets = [] if leader.address == own else [leader.address]
+            if targets:
+                demands = self._allowances.collect_demands()
+                renewal = replace(renewal, allowances=demands)
         for address in targets:
             self._peers.send(address, renewal)
 
@@ -107,6 +131,8 @@
             return
         self.adopt_leader(grant.epoch, grant.leader)
         self._record_sign(grant)
+        if grant.allowances is not None:
+            self._allowances.receive(grant.epoch, grant.allowances)
         if grant.groups is None and authority.generation < grant.generation:
             return  # It answers an earlier incarnation at this address.
         now = board.now()
--- a/src/burdocksail/authority/_leadership.py
+++ b/src/burdocksail/authority/_leadership.py
@@ -34,6 +34,7 @@
 from burdocksail.fleet import (
     INSTANCE_PREFIX,
     Address,
+    Allowances,
     Grant,
     Peers,
     Renew,
@@ -226,9 +227,16 @@
                 grant,
                 groups=None if is_current else grant.groups,
                 monitor=self._is_monitor(renewal.member.address),
+                allowances=self._answer_demands(renewal),
             ),
         )
 
+    def _answer_demands(self, renewal: Renew) -> Allowances | None:
+        demands = renewal.allowances
+        if demands is None or self.ended:
+            return None
+        return self.allowances.answer(renewal.member, renewal.epoch, demands)
+
     def grant_to_self(self) -> None:
         """Extend this instance's own lease and update the fleet counts.
 
--- a/src/burdocksail/board/__init__.py
+++ b/src/burdocksail/board/__init__.py
@@ -23,7 +23,7 @@
     UnconfirmedEntry,
 )
 from burdocksail.board._metrics import Metrics
-from burdocksail.board._quotas import QuotaBounds, QuotaSection
+from burdocksail.board._quotas import QuotaBounds, QuotaSection, count_leaderships
 from burdocksail.board._signal import Signal
 
 __all__ = [
@@ -41,6 +41,7 @@
     "Metrics",
     "QuotaBounds",
     "QuotaSection",
+    "count_leaderships",
     "Sample",
     "SamplesSection",
     "Signal",
--- a/src/burdocksail/board/_quotas.py
+++ b/src/burdocksail/board/_quotas.py
@@ -1,6 +1,7 @@
 """Section on the quotas of workspaces, and their bounds from the settings."""
 
 from collections import deque
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 
 MAX_LEADER_CHANGES = 32  # many more than can happen in one window
@@ -76,14 +77,20 @@
         self.leader_time = None
         self.leader_changes.append((now, epoch))
 
-    def count_leaderships(self, since: float) -> int:
-        """Return how many leaderships have begun since a clock reading, at most.
-
-        Those before the first one that this instance has followed are not counted.
-        """
-        if not self.leader_changes:
-            return 0
-        latest = self.leader_changes[-1][1]
-        earlier = [epoch for at, epoch in self.leader_changes if at < since]
-        known = max(earlier, default=self.leader_changes[0][1] - 1)
-        return latest - known
+
+def count_leaderships(changes: Sequence[tuple[float, int]], since: float) -> int:
+    """Return how many leaderships have begun since a clock reading, at most.
+
+    Those before the first one that this instance has followed are not counted.
+
+    Parameters
+    ----------
+    changes : sequence of (float, int)
+        `QuotaSection.leader_changes`.
+    """
+    if not changes:
+        return 0
+    latest = changes[-1][1]
+    earlier = [epoch for at, epoch in changes if at < since]
+    known = max(earlier, default=changes[0][1] - 1)
+    return latest - known
--- a/src/burdocksail/fakes/_quota_world.py
+++ b/src/burdocksail/fakes/_quota_world.py
@@ -9,7 +9,7 @@
 import random
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from burdocksail.authority import AllowanceIssuer, Follower
 from burdocksail.board import Blackboard, Member, QuotaBounds
@@ -17,9 +17,11 @@
 from burdocksail.fakes._virtual_loop import LoopClock
 from burdocksail.fleet import (
     Address,
+    AllowanceDemands,
     AllowanceGrant,
     AllowanceHandover,
     AllowanceRequest,
+    Allowances,
     Grant,
     Message,
     NotLeader,
@@ -107,8 +109,8 @@
         self.board.catalog.catalog = world.catalog
         self.board.members.registered = world.registered
         world.registered[member.name] = member
-        self.follower = Follower(self.board, self, _NoSnapshots())
         self.holder = AllowanceHolder(self.board, self.send, self.issue)
+        self.follower = Follower(self.board, self, _NoSnapshots(), self.holder)
         self.issuer: AllowanceIssuer | None = None
         self.has_former_left = False
         self._tasks = [
@@ -149,17 +151,20 @@
         elif isinstance(message, NotLeader):
             self.follower.handle_not_leader(message)
         elif isinstance(message, AllowanceRequest):
-            grant = self.issue(message)
-            if grant is not None:
+            answer = self.issue(message.member, message.epoch, message.demands)
+            if answer is not None:
+                grant = AllowanceGrant(self.board.member, message.epoch, answer)
                 self.send(address, grant)
         elif isinstance(message, AllowanceGrant):
-            self.holder.handle_grant(message)
+            self.holder.receive(message.epoch, message.allowances)
         elif isinstance(message, AllowanceHandover) and self.leads:
             self.issuer.receive_handover(message)
 
-    def issue(self, request: AllowanceRequest) -> AllowanceGrant | None:
-        """Return the tokens for a request, None while this instance does not lead."""
-        return self.issuer.answer(request) if self.leads else None
+    def issue(
+        self, member: Member, epoch: int, demands: AllowanceDemands
+    ) -> Allowances | None:
+        """Return the answer to demands, None while this instance does not lead."""
+        return self.issuer.answer(member, epoch, demands) if self.leads else None
 
     def lead(self, epoch: int, former: Member | None) -> None:
         """Begin a leadership and notify all instances."""
@@ -195,7 +200,11 @@
             and renewal.epoch >= self.board.authority.epoch
         ):
             self.has_former_left = True
-        self.send(renewal.member.address, self._make_grant(renewal.sent_at))
+        answer = None
+        if renewal.allowances is not None:
+            answer = self.issue(renewal.member, renewal.epoch, renewal.allowances)
+        grant = replace(self._make_grant(renewal.sent_at), allowances=answer)
+        self.send(renewal.member.address, grant)
 
     def _make_grant(self, echo: float) -> Grant:
         authority = self.board.authority
@@ -322,7 +331,7 @@
         self,
         duration: float,
         rate: Callable[[str, float], float],
-        choose: Callable[[float], QuotaInstance] | None = None,
+        choose: Callable[[float, str], QuotaInstance] | None = None,
     ) -> None:
         """Send operations at random times, until `duration` seconds have passed.
 
@@ -331,7 +340,8 @@
         rate : callable
             Operations per second of a workspace, at a time since the start.
         choose : callable, optional
-            Returns the instance for an operation; any at random by default.
+            Returns the instance for an operation of a workspace at a time; any at
+            random by default.
         """
         loop = asyncio.get_running_loop()
         started = loop.time()
@@ -350,7 +360,7 @@
         for instance in list(self.by_host.values()):
             self.kill(instance)
 
-    def _choose(self, now: float) -> QuotaInstance:
+    def _choose(self, now: float, name: str) -> QuotaInstance:
         return self.random.choice(list(self.by_host.values()))
 
     async def _renew_leaders(self) -> None:
@@ -376,7 +386,7 @@
         record = self.records[name]
         record.offered += 1
         for attempt in range(1 + self.retries):
-            instance = choose(loop.time() - started)
+            instance = choose(loop.time() - started, name)
             if instance is None or instance.host in self.network.frozen:
                 return
             began = loop.time()
--- /dev/null
+++ b/src/burdocksail/fakes/quota_messages_test.py
@@ -0,0 +1,151 @@
+"""Messages that quotas take under calm load, and a leader that is slow or overloaded."""
+
+import asyncio
+import functools
+import unittest
+from collections import Counter
+from collections.abc import Callable
+
+from burdocksail.catalog import Workspace
+from burdocksail.fakes import (
+    QuotaInstance,
+    QuotaWorld,
+    run_in_virtual_time,
+    silence_logs,
+)
+from burdocksail.fleet import AllowanceRequest
+
+SIZE_EXPONENT = 1.2
+RATE_FACTOR = 1.6  # of a workspace's usual load
+INSTANCES_PER_WORKSPACE = 3
+START = 3.0  # seconds after the first operations in which stocks are formed
+DURATION = 23.0
+
+
+class StickyLoad:
+    """Callers that keep to a few instances for each workspace.
+
+    Parameters
+    ----------
+    total : float
+        Operations per second of all workspaces.
+    """
+
+    def __init__(self, workspaces: int, total: float):
+        sizes = [n**-SIZE_EXPONENT for n in range(1, workspaces + 1)]
+        self.rates = {
+            f"workspace-{n}": total * size / sum(sizes) for n, size in enumerate(sizes)
+        }
+        self.workspaces = [
+            Workspace(name, RATE_FACTOR * rate, RATE_FACTOR * rate)
+            for name, rate in self.rates.items()
+        ]
+        self.largest = self.workspaces[0].name
+
+    def choose(self, world: QuotaWorld, name: str) -> QuotaInstance:
+        """Return an instance for an operation of a workspace."""
+        instances = list(world.by_host.values())
+        if name == self.largest:
+            return world.random.choice(instances)
+        index = int(name.rpartition("-")[2]) * INSTANCES_PER_WORKSPACE
+        index += world.random.randrange(INSTANCES_PER_WORKSPACE)
+        return instances[index % len(instances)]
+
+
+class OverloadedHost:
+    """Handles the datagrams that arrive at a host one after the other.
+
+    Parameters
+    ----------
+    handling_time : float
+        Seconds for one datagram.
+    """
+
+    def __init__(
+        self, world: QuotaWorld, instance: QuotaInstance, handling_time: float
+    ):
+        self.longest_queue = 0.0
+        self._handling_time = handling_time
+        self._free_at = 0.0
+        self._receive = instance.receive
+        instance.receive = self._queue
+
+    def _queue(self, message: object, address: tuple[str, int]) -> None:
+        loop = asyncio.get_running_loop()
+        self._free_at = max(self._free_at, loop.time()) + self._handling_time
+        self.longest_queue = max(self.longest_queue, self._free_at - loop.time())
+        handle = functools.partial(self._receive, message, address)
+        loop.call_at(self._free_at, handle)
+
+
+def count_messages(world: QuotaWorld, counts: Counter) -> None:
+    """Count the messages that instances send, by type."""
+    for instance in world.by_host.values():
+
+        def send(address, message, send=instance.send):
+            counts[type(message)] += 1
+            send(address, message)
+
+        instance.send = send
+        instance.holder._send = send
+
+
+def play(
+    instances: int,
+    load: StickyLoad,
+    seed: int = 1,
+    duration: float = DURATION,
+    rate: Callable[[str, float], float] | None = None,
+    prepare: Callable[[QuotaWorld], object] = lambda world: None,
+):
+    """Return a world after a load, its counts of messages, and what was prepared.
+
+    Messages and operations are counted from `START` on.
+    """
+
+    async def scenario():
+        world = QuotaWorld(instances, load.workspaces, seed)
+        counts: Counter = Counter()
+        await asyncio.sleep(0.5)
+        world.appoint(next(iter(world.by_host.values())))
+        prepared = prepare(world)
+        count_messages(world, counts)
+
+        def begin() -> None:
+            counts.clear()
+            for record in world.records.values():
+                record.offered = record.refused = record.lost = 0
+
+        asyncio.get_running_loop().call_later(START, begin)
+        await world.play(
+            duration,
+            rate or (lambda name, at: load.rates[name]),
+            choose=lambda at, name: load.choose(world, name),
+        )
+        world.stop()
+        return world, counts, prepared
+
+    return run_in_virtual_time(scenario())
+
+
+class CalmTest(unittest.TestCase):
+    """Each operation asked the leader, which was saturated and answered too late."""
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        silence_logs()
+
+    def check(self, instances: int, workspaces: int, total: float) -> None:
+        load = StickyLoad(workspaces, total)
+        world, counts, _ = play(instances, load)
+        offered = sum(r.offered for r in world.records.values())
+        refused = sum(r.refused for r in world.records.values())
+        own = counts[AllowanceRequest]
+        self.assertLess(own, offered / 20)
+        self.assertLess(refused, offered / 1000)
+
+    def test_few_messages_with_88_instances(self):
+        self.check(88, 86, 400.0)
+
+    def test_few_messages_with_18_instances(self):
+        self.check(18, 78, 130.0)
--- a/src/burdocksail/fleet/__init__.py
+++ b/src/burdocksail/fleet/__init__.py
@@ -12,9 +12,11 @@
 from burdocksail.fleet._messages import (
     Allowance,
     AllowanceDemand,
+    AllowanceDemands,
     AllowanceGrant,
     AllowanceHandover,
     AllowanceRequest,
+    Allowances,
     Farewell,
     Grant,
     LeaderQuery,
@@ -45,9 +47,11 @@
 __all__ = [
     "Allowance",
     "AllowanceDemand",
+    "AllowanceDemands",
     "AllowanceGrant",
     "AllowanceHandover",
     "AllowanceRequest",
+    "Allowances",
     "AUTHORITY_NAME",
     "CHALLENGE_PREFIX",
     "Address",
--- a/src/burdocksail/fleet/_messages.py
+++ b/src/burdocksail/fleet/_messages.py
@@ -28,6 +28,84 @@
     age: float
 
 
+@dataclass(frozen=True, slots=True)
+class AllowanceDemand:
+    """What an instance wants for a workspace, and what it returns.
+
+    Attributes
+    ----------
+    wanted : int
+        Tokens that are wanted now.
+    urgent : int
+        Those among them for which operations wait.
+    rate : float
+        Operations per second that arrive at the sender.
+    idle : float
+        Seconds since the last of them.
+    returned : int or None
+        Tokens that the sender no longer uses; None without any.
+    returned_slot : int or None
+        `Allowances.slot` of the tokens that are returned.
+    """
+
+    workspace: str
+    wanted: int
+    urgent: int
+    rate: float
+    idle: float
+    returned: int | None = None
+    returned_slot: int | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class AllowanceDemands:
+    """Demands for tokens of the quotas of workspaces.
+
+    Attributes
+    ----------
+    number : int
+        Differs in all demands of a run of the sender, except that demands which are
+        sent again keep it; the answer repeats it.
+    """
+
+    number: int
+    demands: tuple[AllowanceDemand, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Allowance:
+    """Tokens granted to an instance for a workspace.
+
+    Attributes
+    ----------
+    wait : float or None
+        If fewer were granted than wanted, the seconds until the leader expects to
+        have more for this instance.
+    """
+
+    workspace: str
+    granted: int
+    wait: float | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Allowances:
+    """Answer to `AllowanceDemands`.
+
+    Attributes
+    ----------
+    slot : int
+        When the tokens were granted, by a count of the leader.
+    catalog_version : int
+        Version of the configuration under which they were granted.
+    """
+
+    number: int
+    slot: int
+    catalog_version: int
+    allowances: tuple[Allowance, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class Renew:
     """Request to the leader to renew the sender's lease, with the sender's state.
@@ -59,6 +137,8 @@
     former_silence : float or None
         Seconds since the sender last heard a leader of an earlier epoch; None if it
         has heard none.
+    allowances : AllowanceDemands or None
+        Demands of the sender, if there are any.
     """
 
     member: Member
@@ -75,6 +155,7 @@
     store_timeline: int = 0
     leader_time: float | None = None
     former_silence: float | None = None
+    allowances: AllowanceDemands | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -102,6 +183,8 @@
         As in `Renew`.
     leader_time : float or None
         Reading of the leader's clock; the next renewal returns it.
+    allowances : Allowances or None
+        Answer to the demands in the renewal.
     """
 
     leader: Member
@@ -119,6 +202,7 @@
     monitor: bool
     store_timeline: int = 0
     leader_time: float | None = None
+    allowances: Allowances | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -178,82 +262,28 @@
     member: Member
 
 
-@dataclass(frozen=True, slots=True)
-class AllowanceDemand:
-    """What an instance wants for a workspace, and what it returns.
-
-    Attributes
-    ----------
-    wanted : int
-        Tokens that are wanted now.
-    urgent : int
-        Those among them for which operations wait.
-    rate : float
-        Operations per second that arrive at the sender.
-    returned : int
-        Tokens that the sender no longer uses.
-    returned_slot : int
-        `AllowanceGrant.slot` of the grant that held them.
-    """
-
-    workspace: str
-    wanted: int
-    urgent: int
-    rate: float
-    returned: int
-    returned_slot: int
-
-
 @dataclass(frozen=True, slots=True)
 class AllowanceRequest:
-    """Request to the leader for tokens of the quotas of workspaces.
+    """Demands of operations that wait, which cannot wait for the next renewal.
 
     Attributes
     ----------
     epoch : int
         Epoch that the sender follows; the leader of another one does not answer.
-    number : int
-        Differs in all requests of a run of the sender, except that a request that is
-        sent again keeps it; the grant repeats it.
     """
 
     member: Member
     epoch: int
-    number: int
-    demands: tuple[AllowanceDemand, ...]
-
-
-@dataclass(frozen=True, slots=True)
-class Allowance:
-    """Tokens granted to an instance for a workspace.
-
-    Attributes
-    ----------
-    wait : float
-        If fewer were granted than wanted, the seconds until the leader expects to
-        have more for this instance.
-    """
-
-    workspace: str
-    granted: int
-    wait: float
+    demands: AllowanceDemands
 
 
 @dataclass(frozen=True, slots=True)
 class AllowanceGrant:
-    """Answer to `AllowanceRequest`.
-
-    Attributes
-    ----------
-    slot : int
-        When the tokens were granted, by a count of the leader.
-    """
+    """Answer to `AllowanceRequest`."""
 
     leader: Member
     epoch: int
-    number: int
-    slot: int
-    allowances: tuple[Allowance, ...]
+    allowances: Allowances
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/burdocksail/fleet/_structures.py
+++ b/src/burdocksail/fleet/_structures.py
@@ -116,6 +116,122 @@
         self.age = age
 
 
+class AllowanceDemand:
+    """Struct `AllowanceDemand`."""
+
+    thrift_spec = {
+        1: (11, "workspace", False),
+        2: (8, "wanted", False),
+        3: (8, "urgent", False),
+        4: (4, "rate", False),
+        5: (4, "idle", False),
+        6: (8, "returned", False),
+        7: (10, "returned_slot", False),
+    }
+    default_spec = [
+        ("workspace", None),
+        ("wanted", None),
+        ("urgent", None),
+        ("rate", None),
+        ("idle", None),
+        ("returned", None),
+        ("returned_slot", None),
+    ]
+
+    def __init__(
+        self,
+        workspace=None,
+        wanted=None,
+        urgent=None,
+        rate=None,
+        idle=None,
+        returned=None,
+        returned_slot=None,
+    ):
+        self.workspace = workspace
+        self.wanted = wanted
+        self.urgent = urgent
+        self.rate = rate
+        self.idle = idle
+        self.returned = returned
+        self.returned_slot = returned_slot
+
+
+class AllowanceDemands:
+    """Struct `AllowanceDemands`."""
+
+    thrift_spec = {
+        1: (10, "number", False),
+        2: (15, "demands", (12, AllowanceDemand), False),
+    }
+    default_spec = [
+        ("number", None),
+        ("demands", None),
+    ]
+
+    def __init__(
+        self,
+        number=None,
+        demands=None,
+    ):
+        self.number = number
+        self.demands = demands
+
+
+class Allowance:
+    """Struct `Allowance`."""
+
+    thrift_spec = {
+        1: (11, "workspace", False),
+        2: (8, "granted", False),
+        3: (4, "wait", False),
+    }
+    default_spec = [
+        ("workspace", None),
+        ("granted", None),
+        ("wait", None),
+    ]
+
+    def __init__(
+        self,
+        workspace=None,
+        granted=None,
+        wait=None,
+    ):
+        self.workspace = workspace
+        self.granted = granted
+        self.wait = wait
+
+
+class Allowances:
+    """Struct `Allowances`."""
+
+    thrift_spec = {
+        1: (10, "number", False),
+        2: (10, "slot", False),
+        3: (10, "catalog_version", False),
+        4: (15, "allowances", (12, Allowance), False),
+    }
+    default_spec = [
+        ("number", None),
+        ("slot", None),
+        ("catalog_version", None),
+        ("allowances", None),
+    ]
+
+    def __init__(
+        self,
+        number=None,
+        slot=None,
+        catalog_version=None,
+        allowances=None,
+    ):
+        self.number = number
+        self.slot = slot
+        self.catalog_version = catalog_version
+        self.allowances = allowances
+
+
 class Renew:
     """Struct `Renew`."""
 
@@ -134,6 +250,7 @@
         12: (10, "store_timeline", False),
         13: (4, "leader_time", False),
         14: (4, "former_silence", False),
+        15: (12, "allowances", AllowanceDemands, False),
     }
     default_spec = [
         ("member", None),
@@ -150,6 +267,7 @@
         ("store_timeline", 0),
         ("leader_time", None),
         ("former_silence", None),
+        ("allowances", None),
     ]
 
     def __init__(
@@ -168,6 +286,7 @@
         store_timeline=0,
         leader_time=None,
         former_silence=None,
+        allowances=None,
     ):
         self.member = member
         self.sent_at = sent_at
@@ -183,6 +302,7 @@
         self.store_timeline = store_timeline
         self.leader_time = leader_time
         self.former_silence = former_silence
+        self.allowances = allowances
 
 
 class Grant:
@@ -204,6 +324,7 @@
         13: (2, "monitor", False),
         14: (10, "store_timeline", False),
         15: (4, "leader_time", False),
+        16: (12, "allowances", Allowances, False),
     }
     default_spec = [
         ("leader", None),
@@ -221,6 +342,7 @@
         ("monitor", None),
         ("store_timeline", 0),
         ("leader_time", None),
+        ("allowances", None),
     ]
 
     def __init__(
@@ -240,6 +362,7 @@
         monitor=None,
         store_timeline=0,
         leader_time=None,
+        allowances=None,
     ):
         self.leader = leader
         self.epoch = epoch
@@ -256,6 +379,7 @@
         self.monitor = monitor
         self.store_timeline = store_timeline
         self.leader_time = leader_time
+        self.allowances = allowances
 
 
 class NotLeader:
@@ -367,56 +491,17 @@
         self.member = member
 
 
-class AllowanceDemand:
-    """Struct `AllowanceDemand`."""
-
-    thrift_spec = {
-        1: (11, "workspace", False),
-        2: (10, "wanted", False),
-        3: (10, "urgent", False),
-        4: (4, "rate", False),
-        5: (10, "returned", False),
-        6: (10, "returned_slot", False),
-    }
-    default_spec = [
-        ("workspace", None),
-        ("wanted", None),
-        ("urgent", None),
-        ("rate", None),
-        ("returned", None),
-        ("returned_slot", None),
-    ]
-
-    def __init__(
-        self,
-        workspace=None,
-        wanted=None,
-        urgent=None,
-        rate=None,
-        returned=None,
-        returned_slot=None,
-    ):
-        self.workspace = workspace
-        self.wanted = wanted
-        self.urgent = urgent
-        self.rate = rate
-        self.returned = returned
-        self.returned_slot = returned_slot
-
-
 class AllowanceRequest:
     """Struct `AllowanceRequest`."""
 
     thrift_spec = {
         1: (12, "member", Member, False),
         2: (10, "epoch", False),
-        3: (10, "number", False),
-        4: (15, "demands", (12, AllowanceDemand), False),
+        3: (12, "demands", AllowanceDemands, False),
     }
     default_spec = [
         ("member", None),
         ("epoch", None),
-        ("number", None),
         ("demands", None),
     ]
 
@@ -424,55 +509,49 @@
         self,
         member=None,
         epoch=None,
-        number=None,
         demands=None,
     ):
         self.member = member
         self.epoch = epoch
-        self.number = number
         self.demands = demands
 
 
-class Allowance:
-    """Struct `Allowance`."""
+class AllowanceGrant:
+    """Struct `AllowanceGrant`."""
 
     thrift_spec = {
-        1: (11, "workspace", False),
-        2: (10, "granted", False),
-        3: (4, "wait", False),
+        1: (12, "leader", Member, False),
+        2: (10, "epoch", False),
+        3: (12, "allowances", Allowances, False),
     }
     default_spec = [
-        ("workspace", None),
-        ("granted", None),
-        ("wait", None),
+        ("leader", None),
+        ("epoch", None),
+        ("allowances", None),
     ]
 
     def __init__(
         self,
-        workspace=None,
-        granted=None,
-        wait=None,
+        leader=None,
+        epoch=None,
+        allowances=None,
     ):
-        self.workspace = workspace
-        self.granted = granted
-        self.wait = wait
+        self.leader = leader
+        self.epoch = epoch
+        self.allowances = allowances
 
 
-class AllowanceGrant:
-    """Struct `AllowanceGrant`."""
+class AllowanceHandover:
+    """Struct `AllowanceHandover`."""
 
     thrift_spec = {
         1: (12, "leader", Member, False),
         2: (10, "epoch", False),
-        3: (10, "number", False),
-        4: (10, "slot", False),
-        5: (15, "allowances", (12, Allowance), False),
+        3: (15, "allowances", (12, Allowance), False),
     }
     default_spec = [
         ("leader", None),
         ("epoch", None),
-        ("number", None),
-        ("slot", None),
         ("allowances", None),
     ]
 
@@ -480,14 +559,10 @@
         self,
         leader=None,
         epoch=None,
-        number=None,
-        slot=None,
         allowances=None,
     ):
         self.leader = leader
         self.epoch = epoch
-        self.number = number
-        self.slot = slot
         self.allowances = allowances
 
 
@@ -504,6 +579,7 @@
         7: (12, "Farewell", Farewell, False),
         8: (12, "AllowanceRequest", AllowanceRequest, False),
         9: (12, "AllowanceGrant", AllowanceGrant, False),
+        10: (12, "AllowanceHandover", AllowanceHandover, False),
     }
     default_spec = [
         ("Renew", None),
@@ -515,6 +591,7 @@
         ("Farewell", None),
         ("AllowanceRequest", None),
         ("AllowanceGrant", None),
+        ("AllowanceHandover", None),
     ]
 
     def __init__(
@@ -528,6 +605,7 @@
         Farewell=None,
         AllowanceRequest=None,
         AllowanceGrant=None,
+        AllowanceHandover=None,
     ):
         self.Renew = Renew
         self.Grant = Grant
@@ -538,6 +616,7 @@
         self.Farewell = Farewell
         self.AllowanceRequest = AllowanceRequest
         self.AllowanceGrant = AllowanceGrant
+        self.AllowanceHandover = AllowanceHandover
 
 
 class SnapshotItem:
--- a/src/burdocksail/fleet/fleet.thrift
+++ b/src/burdocksail/fleet/fleet.thrift
@@ -14,19 +14,30 @@
   1: string service_name, 2: i64 change, 3: LogPosition position, 4: double age
 }
 
+struct AllowanceDemand {
+  1: string workspace, 2: i32 wanted, 3: i32 urgent, 4: double rate,
+  5: double idle, 6: optional i32 returned, 7: optional i64 returned_slot
+}
+struct AllowanceDemands { 1: i64 number, 2: list<AllowanceDemand> demands }
+struct Allowance { 1: string workspace, 2: i32 granted, 3: optional double wait }
+struct Allowances {
+  1: i64 number, 2: i64 slot, 3: i64 catalog_version, 4: list<Allowance> allowances
+}
+
 struct Renew {
   1: Member member, 2: double sent_at, 3: i64 epoch, 4: i64 generation,
   5: i64 catalog_version, 6: i64 directory_revision, 7: bool store_works,
   8: list<string> busy, 9: list<string> unreachable, 10: list<string> reached, 11: bool leaving,
   12: i64 store_timeline = 0, 13: optional double leader_time,
-  14: optional double former_silence
+  14: optional double former_silence, 15: optional AllowanceDemands allowances
 }
 struct Grant {
   1: Member leader, 2: i64 epoch, 3: i64 generation, 4: double echo,
   5: bool extends_evidence, 6: optional list<GroupView> groups, 7: i64 alive,
   8: i64 catalog_version, 9: i64 directory_revision, 10: bool store_works,
   11: list<SharedSample> samples, 12: i64 registered, 13: bool monitor,
-  14: i64 store_timeline = 0, 15: optional double leader_time
+  14: i64 store_timeline = 0, 15: optional double leader_time,
+  16: optional Allowances allowances
 }
 struct NotLeader { 1: Member member, 2: i64 epoch, 3: optional Member leader }
 struct LeaderQuery { 1: Member member, 2: i64 epoch }
@@ -34,17 +45,11 @@
 struct TakeOver { 1: Member member, 2: i64 epoch }
 struct Farewell { 1: Member member }
 
-struct AllowanceDemand {
-  1: string workspace, 2: i64 wanted, 3: i64 urgent, 4: double rate,
-  5: i64 returned, 6: i64 returned_slot
-}
 struct AllowanceRequest {
-  1: Member member, 2: i64 epoch, 3: i64 number, 4: list<AllowanceDemand> demands
+  1: Member member, 2: i64 epoch, 3: AllowanceDemands demands
 }
-struct Allowance { 1: string workspace, 2: i64 granted, 3: double wait }
 struct AllowanceGrant {
-  1: Member leader, 2: i64 epoch, 3: i64 number, 4: i64 slot,
-  5: list<Allowance> allowances
+  1: Member leader, 2: i64 epoch, 3: Allowances allowances
 }
 struct AllowanceHandover {
   1: Member leader, 2: i64 epoch, 3: list<Allowance> allowances
--- a/src/burdocksail/serving/_allowances.py
+++ b/src/burdocksail/serving/_allowances.py
@@ -1,24 +1,32 @@
 """Tokens that the operations of workspaces need, leased from the fleet's leader."""
 
 import asyncio
-import itertools
+import math
 from collections import deque
-from collections.abc import Callable, Iterator
-from dataclasses import dataclass, field
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field, replace
 
-from burdocksail.board import Blackboard
+from burdocksail.board import Blackboard, Member
 from burdocksail.catalog import Workspace
 from burdocksail.core import FailureKind, get_logger
 from burdocksail.fleet import (
     Address,
     AllowanceDemand,
-    AllowanceGrant,
+    AllowanceDemands,
     AllowanceRequest,
+    Allowances,
     Message,
 )
+from burdocksail.serving._allowance_requests import (
+    ANSWER_TIMEOUT,
+    AllowanceRequests,
+    SentDemands,
+)
 from burdocksail.serving._replies import CommandFailed
 from burdocksail.traffic import (
-    USABLE_TIME,
+    DELIVERY_MARGIN,
+    MAX_LIFETIME,
+    MIN_LIFETIME,
     AllowanceLimit,
     AllowanceStock,
     Batch,
@@ -26,19 +34,21 @@
     find_floor_start,
 )
 
-RENEW_INTERVAL = 0.1  # seconds; a batch lasts for several of them
-RESEND_DELAY = 0.05  # seconds; longer than a round trip between regions
+RENEW_INTERVAL = 0.3  # seconds, at the leader itself; as the renewals of leases
 # An operation waits for tokens that the leader expects within this time, as long as
 # the limit below allows it.
-MAX_GRANT_WAIT = 0.1  # seconds
-MIN_REQUEST_INTERVAL = 0.01  # seconds, after the leader had too few tokens
-STOCK_PAUSE = 0.3  # seconds; see `AllowanceStock.stock_paused_until`
-ANSWER_TIMEOUT = 0.15  # seconds that an operation waits for tokens
-# A demand takes its workspace's name and some 35 bytes. With the other fields, a
+MAX_GRANT_WAIT = 0.05  # seconds
+# Seconds between an answer and the next request of an instance, after the leader had
+# too few tokens. 18 instances send at most 180 requests/s then, and 60 renewals/s.
+REFUSED_INTERVAL = 0.05
+MIN_REQUEST_INTERVAL = 0.02  # seconds, otherwise
+MIN_RETRY_AFTER = 0.1  # seconds
+# A demand takes its workspace's name and some 60 bytes. With the other fields, a
 # datagram is then below 1,200 bytes.
 MAX_DEMAND_BYTES = 1000
-DEMAND_BYTES = 35
-IDLE_TIMEOUT = 10.0  # seconds until the state of an idle workspace is dropped
+MAX_RIDING_BYTES = 600  # in a renewal
+DEMAND_BYTES = 60
+IDLE_TIMEOUT = 20.0  # seconds until the state of an idle workspace is dropped
 DESCRIBED_WORKSPACES = 10
 
 
@@ -50,9 +60,6 @@
     ----------
     waiters : deque of Future
         Operations that wait for tokens. The result is whether one was reserved.
-    asked_until : float
-        Clock reading until which no further tokens are asked for, as a request is
-        in flight.
     used_at : float
         Clock reading at which an operation last came.
     """
@@ -61,21 +68,12 @@
     used_at: float
     stock: AllowanceStock = field(default_factory=AllowanceStock)
     waiters: deque[asyncio.Future] = field(default_factory=deque)
-    asked_until: float = float("-inf")
 
     @property
     def is_unused(self) -> bool:
         """Return whether nothing would be lost by dropping this state."""
-        return not self.waiters and not self.stock.reserved
-
-
-@dataclass(frozen=True, slots=True)
-class _SentRequest:
-    """A request that has not been answered."""
-
-    request: AllowanceRequest
-    address: Address
-    sent_at: float
+        stock = self.stock
+        return not (self.waiters or stock.reserved or stock.asked)
 
 
 class Reservation:
@@ -161,35 +159,53 @@
     send : callable
         Sends a message to the address of another instance.
     issue : callable
-        Answers a request if this instance is the leader.
+        Answers a member's demands in an epoch if this instance is the leader.
     """
 
     def __init__(
         self,
         board: Blackboard,
         send: Callable[[Address, Message], None] = lambda address, message: None,
-        issue: Callable[[AllowanceRequest], AllowanceGrant | None] = lambda request: (
-            None
-        ),
+        issue: Callable[
+            [Member, int, AllowanceDemands], Allowances | None
+        ] = lambda member, epoch, demands: None,
     ):
         self._board = board
         self._send = send
         self._issue = issue
         self._holdings: dict[str, _Holding] = {}
-        self._sent: dict[int, _SentRequest] = {}
-        self._numbers = itertools.count(1)
+        self._requests = AllowanceRequests(board.member.incarnation)
         self._limits: dict[str, AllowanceLimit] = {}
         self._limits_key: tuple = ()
         self._flush_scheduled = False
+        self._next_request_at = float("-inf")
         self._floor_start: float | None = None
         self._log = get_logger()
 
     async def run(self) -> None:
-        """Renew batches before they are used up, and return tokens; does not return."""
+        """Renew the stock while this instance leads; does not return."""
         while True:
             await asyncio.sleep(RENEW_INTERVAL)
-            if self._holdings:
-                self._renew()
+            self._drop_expired()
+            authority = self._board.authority
+            if self._holdings and authority.leader == self._board.member:
+                self._ask_directly(self._holdings.values())
+
+    def collect_demands(self) -> AllowanceDemands | None:
+        """Return the demands for the next renewal, None without any.
+
+        Those that have not been answered are sent again, so that neither the tokens
+        that are granted nor those that are returned are lost with a message.
+        """
+        self._drop_expired()
+        sent = self._requests.find_awaited(rides=True)
+        if sent is not None:
+            sent.is_resent = True
+            return sent.demands
+        if not self._holdings or self._board.quotas.bounds is None:
+            return None
+        demands = self._make_demands(self._holdings.values(), MAX_RIDING_BYTES)
+        return self._open(demands, rides=True).demands if demands else None
 
     async def take(self, workspace_name: str) -> Reservation | None:
         """Return a reservation for one operation, None if it needs none.
@@ -224,28 +240,31 @@
         self._board.metrics.count(f"allowances_{outcome}")
         return usable_until
 
-    def handle_grant(self, grant: AllowanceGrant) -> None:
-        """Add the tokens of a grant, unless its request has been answered before."""
-        sent = self._sent.pop(grant.number, None)
+    def receive(self, epoch: int, allowances: Allowances) -> None:
+        """Add the tokens of an answer, unless it has been given before."""
         now = self._board.now()
-        if sent is None or sent.request.epoch != grant.epoch:
+        sent = self._requests.close(allowances.number, epoch, now)
+        if sent is None:
             self._board.metrics.count("allowance_grants_ignored")
             return
-        usable_until = sent.sent_at + USABLE_TIME
-        wanted = {demand.workspace: demand.wanted for demand in sent.request.demands}
-        for allowance in grant.allowances:
+        if not sent.rides:
+            self._next_request_at = now + MIN_REQUEST_INTERVAL
+        if sent.is_awaited:
+            self._end_waiting(sent)
+        wanted = {demand.workspace: demand.wanted for demand in sent.demands.demands}
+        for allowance in allowances.allowances:
             holding = self._holdings.get(allowance.workspace)
             limit = wanted.get(allowance.workspace, 0)
-            if holding is None or allowance.granted > limit:
-                continue
-            batch = Batch(allowance.granted, usable_until, grant.epoch, grant.slot)
-            holding.stock.add(batch)
-            self._board.metrics.count("allowances_granted", allowance.granted)
-            if limit:
-                holding.asked_until = now
-                if allowance.granted < limit:
-                    holding.stock.stock_paused_until = now + STOCK_PAUSE
-                self._settle(holding, allowance.wait, now)
+            if holding is not None and allowance.granted <= limit:
+                lifetime = self._find_lifetime(holding, allowances.catalog_version)
+                usable_until = sent.sent_at + lifetime - DELIVERY_MARGIN
+                holding.stock.add(
+                    Batch(allowance.granted, usable_until, epoch, allowances.slot)
+                )
+                self._board.metrics.count("allowances_granted", allowance.granted)
+                self._settle(holding, allowance.wait or 0.0, now)
+        if any(holding.waiters for holding in self._holdings.values()):
+            self._schedule_flush()
 
     def describe(self) -> dict[str, object]:
         """Return the state of the busiest workspaces, as shown in the state dump."""
@@ -309,6 +328,17 @@
             self._limits[workspace.name] = limit
         return limit
 
+    def _find_lifetime(self, holding: _Holding, catalog_version: int) -> float:
+        """Return the life of tokens that were granted under a configuration.
+
+        The shortest if it is not the one in force here: the leader may know another
+        rate.
+        """
+        catalog = self._board.catalog.catalog
+        if catalog is None or catalog.version != catalog_version:
+            return MIN_LIFETIME
+        return self._find_limit(holding.workspace).lifetime
+
     def _fill_floor(self, holding: _Holding) -> float | None:
         """Fill the floor of a workspace; return when floors began, None without one."""
         quotas = self._board.quotas
@@ -338,6 +368,7 @@
                 holding.waiters.remove(waiter)
         if not waiter.done():
             self._board.metrics.count("allowances_unanswered")
+            self._expect_answer(holding)
             raise self._reject(holding, "the leader has not answered")
         if not waiter.result():
             raise self._reject(holding, "the rate of the workspace is used up")
@@ -360,10 +391,9 @@
                 waiter.set_result(True)
         if not holding.waiters:
             return
+        self._next_request_at = now + REFUSED_INTERVAL
         stock.record_refusal(now, wait, holding.workspace.rate)
         if wait <= MAX_GRANT_WAIT:
-            delay = max(wait, MIN_REQUEST_INTERVAL)
-            asyncio.get_running_loop().call_later(delay, self._schedule_flush)
             return
         for waiter in holding.waiters:
             if not waiter.done():
@@ -373,7 +403,7 @@
     def _reject(self, holding: _Holding, reason: str) -> CommandFailed:
         self._board.metrics.count("allowances_rejected")
         wait = holding.stock.compute_retry_after(self._board.now())
-        return CommandFailed(FailureKind.BUSY, reason, max(wait, RESEND_DELAY))
+        return CommandFailed(FailureKind.BUSY, reason, max(wait, MIN_RETRY_AFTER))
 
     def _reject_at_floor(self, holding: _Holding) -> CommandFailed:
         now = self._board.now()
@@ -383,86 +413,158 @@
         holding.stock.record_refusal(now, max(0.0, wait), rate)
         return self._reject(holding, "no leader answers, and the minimum rate is used")
 
+    def _expect_answer(self, holding: _Holding) -> None:
+        """Record when tokens will be here that have not come in time."""
+        longest = self._requests.round_trips.estimate_longest()
+        wait = max(longest - ANSWER_TIMEOUT, MIN_RETRY_AFTER)
+        stock = holding.stock
+        stock.retry_at = max(stock.retry_at, self._board.now() + wait)
+        stock.retry_interval = 0.0
+
     def _schedule_flush(self) -> None:
-        """Send requests once all tasks that are ready now have asked for tokens."""
+        """Send a request once all tasks that are ready now have asked for tokens."""
         if not self._flush_scheduled:
             self._flush_scheduled = True
-            asyncio.get_running_loop().call_soon(self._flush)
+            delay = max(0.0, self._next_request_at - self._board.now())
+            asyncio.get_running_loop().call_later(delay, self._flush)
 
     def _flush(self) -> None:
+        """Ask for the operations that wait, unless a request is in flight.
+
+        What comes meanwhile is asked for when that is answered.
+        """
         self._flush_scheduled = False
-        self._request(h for h in self._holdings.values() if h.waiters)
+        self._drop_expired()
+        leader = self._board.authority.leader
+        waiting = [h for h in self._holdings.values() if h.waiters]
+        if leader is None or not waiting:
+            return
+        if leader == self._board.member:
+            self._ask_directly(waiting)
+            return
+        if self._requests.find_awaited(rides=False) is not None:
+            return
+        demands = self._make_demands(waiting, MAX_DEMAND_BYTES, urgent_only=True)
+        if demands:
+            self._send_request(self._open(demands, rides=False))
+        self._resend_riding()
 
-    def _renew(self) -> None:
-        now = self._board.now()
-        for number, sent in list(self._sent.items()):
-            if now >= sent.sent_at + USABLE_TIME:
-                del self._sent[number]
-        for name, holding in list(self._holdings.items()):
-            if holding.used_at < now - IDLE_TIMEOUT and holding.is_unused:
-                del self._holdings[name]
-        self._request(self._holdings.values())
+    def _resend_riding(self) -> None:
+        """Send demands that ride on renewals again if operations wait for them."""
+        sent = self._requests.find_awaited(rides=True)
+        if sent is not None:
+            self._schedule_resend(sent)
 
-    def _request(self, holdings: Iterator[_Holding]) -> None:
-        """Ask the leader for what is wanted, in as few messages as possible."""
-        leader = self._board.authority.leader
-        if leader is None:
+    def _send_request(self, sent: SentDemands) -> None:
+        self._board.metrics.count("allowance_requests")
+        self._send(sent.address, self._make_request(sent))
+        self._schedule_resend(sent)
+
+    def _schedule_resend(self, sent: SentDemands) -> None:
+        delay = self._requests.round_trips.compute_resend_delay()
+        if delay is not None and not sent.is_resent:
+            delay = max(0.0, sent.sent_at + delay - self._board.now())
+            number = sent.demands.number
+            asyncio.get_running_loop().call_later(delay, self._resend, number)
+
+    def _resend(self, number: int) -> None:
+        sent = self._requests.find(number)
+        if sent is None or sent.is_resent or not self._is_waited_for(sent):
+            return
+        sent.is_resent = True
+        self._board.metrics.count("allowance_requests_resent")
+        self._send(sent.address, self._make_request(sent))
+
+    def _is_waited_for(self, sent: SentDemands) -> bool:
+        holdings = (self._holdings.get(d.workspace) for d in sent.demands.demands)
+        return any(h is not None and h.waiters for h in holdings)
+
+    def _make_request(self, sent: SentDemands) -> AllowanceRequest:
+        return AllowanceRequest(self._board.member, sent.epoch, sent.demands)
+
+    def _ask_directly(self, holdings: Iterable[_Holding]) -> None:
+        """Ask this instance itself, which leads."""
+        demands = self._make_demands(holdings, math.inf)
+        if not demands:
             return
+        sent = self._open(demands, rides=False)
+        answer = self._issue(self._board.member, sent.epoch, sent.demands)
+        if answer is not None:
+            self.receive(sent.epoch, answer)
+
+    def _make_demands(
+        self, holdings: Iterable[_Holding], max_bytes: float, urgent_only: bool = False
+    ) -> list[AllowanceDemand]:
+        """Return the demands that fit into a message.
+
+        Parameters
+        ----------
+        urgent_only : bool, optional
+            Whether only workspaces are named for whose operations tokens are missing.
+        """
         now = self._board.now()
         demands: list[AllowanceDemand] = []
         size = 0
-        for holding in list(holdings):
-            demand = self._make_demand(holding, now)
-            if demand is None:
-                continue
-            length = len(demand.workspace.encode()) + DEMAND_BYTES
-            if size + length > MAX_DEMAND_BYTES and demands:
-                self._send_request(demands)
-                demands, size = [], 0
-            demands.append(demand)
-            size += length
-        if demands:
-            self._send_request(demands)
-
-    def _make_demand(self, holding: _Holding, now: float) -> AllowanceDemand | None:
+        # Operations that wait come first where not all fit.
+        for holding in sorted(holdings, key=lambda h: not h.waiters):
+            if size >= max_bytes:
+                break
+            made = self._make_demand(holding, now, urgent_only)
+            size += len(made) * (len(holding.workspace.name.encode()) + DEMAND_BYTES)
+            demands += made
+        return demands
+
+    def _make_demand(
+        self, holding: _Holding, now: float, urgent_only: bool
+    ) -> list[AllowanceDemand]:
+        """Return the demand for a workspace, one more for each further batch returned."""
         stock = holding.stock
-        unused = stock.take_unused(now, self._board.authority.epoch)
-        wanted = 0
         waiting = len(holding.waiters)
-        if now >= holding.asked_until and now >= stock.exhausted_until:
+        if urgent_only and stock.compute_missing(now, waiting) <= 0:
+            return []
+        epoch = self._board.authority.epoch
+        lifetime = self._find_limit(holding.workspace).lifetime
+        unused = stock.take_unused(now, epoch, lifetime)
+        wanted = 0
+        if now >= stock.exhausted_until:
             wanted = stock.compute_wanted(now, waiting)
-        if not wanted and unused is None:
-            return None
-        if wanted:
-            holding.asked_until = now + ANSWER_TIMEOUT
-        return AllowanceDemand(
+        if not wanted and not unused:
+            return []
+        missing = max(0, stock.compute_missing(now, waiting))
+        stock.asked += wanted
+        demand = AllowanceDemand(
             holding.workspace.name,
-            wanted,
-            min(wanted, max(0, stock.compute_missing(now, waiting))),
-            stock.demand.estimate_others(now),
-            0 if unused is None else unused.count,
-            0 if unused is None else unused.slot,
+            0,
+            0,
+            round(stock.demand.estimate_others(now), 3),
+            round(stock.demand.compute_idle_time(now), 3),
         )
+        demands = [
+            replace(demand, returned=batch.count, returned_slot=batch.slot)
+            for batch in unused
+        ]
+        # The leader takes the batches back before it grants others.
+        last = demands.pop() if demands else demand
+        return [*demands, replace(last, wanted=wanted, urgent=min(wanted, missing))]
+
+    def _open(self, demands: list[AllowanceDemand], rides: bool) -> SentDemands:
+        authority = self._board.authority
+        now = self._board.now()
+        address = authority.leader.address
+        return self._requests.open(demands, authority.epoch, address, now, rides)
 
-    def _send_request(self, demands: list[AllowanceDemand]) -> None:
-        board = self._board
-        leader = board.authority.leader
-        number = next(self._numbers)
-        request = AllowanceRequest(
-            board.member, board.authority.epoch, number, tuple(demands)
-        )
-        self._sent[number] = _SentRequest(request, leader.address, board.now())
-        board.metrics.count("allowance_requests")
-        if leader == board.member:
-            grant = self._issue(request)
-            if grant is not None:
-                self.handle_grant(grant)
-            return
-        self._send(leader.address, request)
-        asyncio.get_running_loop().call_later(RESEND_DELAY, self._resend, number)
+    def _drop_expired(self) -> None:
+        now = self._board.now()
+        epoch = self._board.authority.epoch
+        for sent in self._requests.expire(now, epoch, MAX_LIFETIME):
+            self._end_waiting(sent)
+        for name, holding in list(self._holdings.items()):
+            if holding.used_at < now - IDLE_TIMEOUT and holding.is_unused:
+                del self._holdings[name]
 
-    def _resend(self, number: int) -> None:
-        sent = self._sent.get(number)
-        if sent is not None:
-            self._board.metrics.count("allowance_requests_resent")
-            self._send(sent.address, sent.request)
+    def _end_waiting(self, sent: SentDemands) -> None:
+        """Count the tokens of demands no longer as asked for."""
+        for demand in sent.demands.demands:
+            holding = self._holdings.get(demand.workspace)
+            if holding is not None:
+                holding.stock.asked -= demand.wanted
--- a/src/burdocksail/traffic/_allowance_stock.py
+++ b/src/burdocksail/traffic/_allowance_stock.py
@@ -7,22 +7,26 @@
 
 import math
 from collections import deque
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
-from burdocksail.traffic._allowances import TOKEN_LIFETIME, AllowanceLimit
+from burdocksail.traffic._allowances import STOCK_TIME, AllowanceLimit
 
 # Part of a token's life that is left for the way of its operation to a server.
 DELIVERY_MARGIN = 0.1  # seconds
-USABLE_TIME = TOKEN_LIFETIME - DELIVERY_MARGIN
-RETURN_BEFORE = 0.15  # seconds before a token can no longer be used
-BATCH_SECONDS = 0.5  # of recent demand in a batch
-RENEWAL_SECONDS = 0.25  # of recent demand left in stock when a batch is renewed
-# Averaging times of the demand: the short one follows a peak, the long one tells
-# whether requests come often enough for a token to be kept for the next.
+# Seconds, and share of the life, before a token can no longer be used, from which it
+# is exchanged. A lost renewal, every 0.3 s, leaves time for another one.
+RETURN_BEFORE = 1.0
+RETURN_SHARE = 0.5
+STOCK_SECONDS = 0.4  # of recent demand in stock: a renewal and a round trip
+STOCK_DEVIATIONS = 2.0  # of the operations in that time, kept besides
+# Averaging times of the demand: the short one follows a peak.
 SHORT_AVERAGE = 0.5  # seconds
-LONG_AVERAGE = 2.0  # seconds
-# Operations per second; at this rate half of the tokens kept in stock are used.
-STOCK_RATE = 0.75
+LONG_AVERAGE = 8.0  # seconds
+# Seconds since the first arrival that are counted at least: one operation alone would
+# tell a high rate otherwise.
+MIN_AVERAGE = 3.0
+# Arrivals that the short average must hold until it counts for the stock.
+PEAK_ARRIVALS = 2
 FLOOR_DELAY = 1.5  # seconds without a leader until the floor begins to fill
 # Seconds without an answer until a floor ends. A leader removes a silent instance after
 # 60 s, and shares its part of the rate among the others from then on.
@@ -37,12 +41,14 @@
     _short: float = 0.0
     _long: float = 0.0
     _updated_at: float = 0.0
+    _began_at: float = math.inf
     _arrived_at: float = -math.inf
 
     def record(self, now: float) -> None:
         """Record an arrival."""
         self._decay(now)
         self._arrived_at = now
+        self._began_at = min(self._began_at, now)
         self._short += 1.0 / SHORT_AVERAGE
         self._long += 1.0 / LONG_AVERAGE
 
@@ -60,10 +66,21 @@
         self._decay(now)
         return max(0.0, self._short - last)
 
-    def is_steady(self, now: float) -> bool:
-        """Return whether a token in stock will probably be used before it expires."""
+    def compute_stock(self, now: float) -> int:
+        """Return how many tokens should be in stock."""
         self._decay(now)
-        return self._long >= STOCK_RATE
+        if now > self._arrived_at + STOCK_TIME:
+            return 0
+        age = max(MIN_AVERAGE, now - self._began_at)
+        long_rate = self._long / (1.0 - math.exp(-age / LONG_AVERAGE))
+        rate = max(long_rate, self._short - PEAK_ARRIVALS / SHORT_AVERAGE)
+        expected = rate * STOCK_SECONDS
+        deviation = STOCK_DEVIATIONS * math.sqrt(expected)
+        return max(1, math.ceil(expected + deviation))
+
+    def compute_idle_time(self, now: float) -> float:
+        """Return the seconds since the last arrival."""
+        return now - self._arrived_at
 
     def _decay(self, now: float) -> None:
         elapsed = max(0.0, now - self._updated_at)
@@ -150,23 +167,22 @@
     exhausted_until : float
         Clock reading before which the leader expects to have no tokens for this
         instance.
+    asked : int
+        Tokens that have been asked for, without an answer yet.
     retry_at : float
         Clock reading up to which rejected operations were told to come back.
     retry_interval : float
         Seconds between two such times.
-    stock_paused_until : float
-        Clock reading before which no tokens are asked for but for operations that
-        wait, as the leader had none for the stock.
     """
 
     batches: deque[Batch] = field(default_factory=deque)
     floor: FloorBucket = field(default_factory=FloorBucket)
     demand: DemandEstimate = field(default_factory=DemandEstimate)
     reserved: int = 0
+    asked: int = 0
     exhausted_until: float = -math.inf
     retry_at: float = -math.inf
     retry_interval: float = 0.0
-    stock_paused_until: float = -math.inf
 
     def count(self, now: float) -> int:
         """Return the tokens that can be used now."""
@@ -214,13 +230,23 @@
         """Drop all tokens, as the limit of the workspace has changed."""
         self.batches.clear()
 
-    def take_unused(self, now: float, epoch: int) -> Batch | None:
-        """Remove a batch that is about to expire, to be returned to its leader."""
-        self.count(now)
-        if not self.batches or self.batches[0].usable_until > now + RETURN_BEFORE:
-            return None
-        batch = self.batches.popleft()
-        return batch if batch.epoch == epoch else None
+    def take_unused(self, now: float, epoch: int, lifetime: float) -> list[Batch]:
+        """Remove the batches that are about to expire, to be returned to their leader.
+
+        Operations that have reserved tokens keep them.
+        """
+        limit = now + min(RETURN_BEFORE, RETURN_SHARE * lifetime)
+        spare = self.count(now) - self.reserved
+        unused = []
+        for batch in list(self.batches):
+            if batch.usable_until > limit or spare <= 0:
+                break
+            if batch.epoch == epoch:
+                count = min(batch.count, spare)
+                unused.append(replace(batch, count=count))
+                batch.count -= count
+                spare -= count
+        return unused
 
     def compute_missing(self, now: float, waiting: int) -> int:
         """Return how many of the operations that are here have no token.
@@ -232,17 +258,12 @@
         waiting : int
             Operations that wait for a token.
         """
-        return waiting + self.reserved - self.count(now)
+        return waiting + self.reserved - self.count(now) - self.asked
 
     def compute_wanted(self, now: float, waiting: int) -> int:
         """Return how many tokens to ask for, 0 if there are enough."""
         missing = self.compute_missing(now, waiting)
-        if now < self.stock_paused_until or not self.demand.is_steady(now):
-            return max(0, missing)
-        rate = self.demand.estimate(now)
-        if missing + max(1.0, RENEWAL_SECONDS * rate) <= 0:
-            return 0
-        return max(0, missing + math.ceil(max(1.0, BATCH_SECONDS * rate)))
+        return max(0, missing + self.demand.compute_stock(now))
 
     def record_refusal(self, now: float, wait: float, rate: float) -> None:
         """Record that the leader had fewer tokens than wanted.
--- a/src/burdocksail/traffic/_allowances.py
+++ b/src/burdocksail/traffic/_allowances.py
@@ -5,22 +5,36 @@
 static shares would reject requests at busy instances while idle ones have tokens left.
 """
 
+import math
 from collections import deque
 from dataclasses import dataclass, field
 
-# Seconds from the grant of a token until it can no longer be used.
-TOKEN_LIFETIME = 1.0
+# Seconds from the grant of a token until it can no longer be used. A long life saves
+# messages, and takes from the depth of the bucket what is filled in meanwhile.
+MIN_LIFETIME = 1.0
+MAX_LIFETIME = 15.0
+# The depth that is left is at least this share of the rate, and of what the bound
+# allows beyond the rate.
+DEPTH_PER_RATE = 0.4  # seconds
+DEPTH_SHARE = 0.45
 # Longest possible depth of a bucket is kept at this share of the rate at least: a
 # shallower one could not hold what several instances take at the same time.
 MIN_DEPTH_SECONDS = 0.2
 # Tokens with which all leaders in one window may begin together: they let the first
 # operations of small workspaces through, which would wait for seconds otherwise.
-CREDIT_SHARE = 0.25  # of what the bound allows beyond the rate
-MAX_CREDITS = 8.0
+CREDIT_SHARE = 0.5  # of what the bound allows beyond the rate
+MAX_CREDITS = 15.0
+FIRST_CREDIT = 1 / 3  # share of the credits for one leadership, at most
 # Tokens are scarce if there are fewer than are filled in during this time.
 SCARCE_SECONDS = 0.2
+# Part of the time until an instance's next token that operations are told to wait.
+# The way of the next request takes the rest; at 1 the bucket overflowed.
+WAIT_SHARE = 0.7
 SLOT = 0.1  # seconds; grants are recorded with this precision
-RETURN_LIMIT = 2.0  # seconds after a grant in which its tokens can be returned
+RETURN_MARGIN = 1.0  # seconds after their life in which tokens can be returned
+STOCK_TIME = 15.0  # seconds for which an instance that served a workspace has a stock
+# Tokens that are not granted for stocks: one, and what is filled in during this time.
+STOCK_RESERVE_SECONDS = 0.05
 DEMAND_LIFETIME = 1.0  # seconds; an instance with demand reports it several times
 
 
@@ -39,16 +53,44 @@
     floor_depth : float
         Tokens that such an instance may save up; 0 if there are too many instances
         for each to have one within the bound.
-    credit : float
-        Tokens with which a leader begins if no other leadership began in the same
-        window. Each further one begins with half as many as the one before.
+    credits : float
+        Tokens with which all leaders in one window may begin together.
+    lifetime : float
+        Seconds from the grant of a token until it can no longer be used.
     """
 
     rate: float
     depth: float
     floor_rate: float
     floor_depth: float
-    credit: float
+    credits: float
+    lifetime: float
+
+
+def compute_lifetime(rate: float, bound: float, window: float) -> float:
+    """Return the seconds for which tokens of a workspace live.
+
+    Leader and instances compute it alike, whatever the number of instances is.
+    """
+    if rate <= 0:
+        return MIN_LIFETIME
+    spare = bound - rate * window
+    kept = max(DEPTH_PER_RATE * rate, DEPTH_SHARE * spare)
+    return min(max((spare - kept) / rate, MIN_LIFETIME), MAX_LIFETIME)
+
+
+def compute_credit_share(leaderships: int) -> float:
+    """Return the share of the credits for a leadership.
+
+    The shares of any number of leaderships add up to 1. The first two are alike: an
+    instance that has just started does not know of earlier ones.
+
+    Parameters
+    ----------
+    leaderships : int
+        Others that began in the same window.
+    """
+    return min(FIRST_CREDIT, 2 * FIRST_CREDIT * 0.5**leaderships)
 
 
 def compute_limit(
@@ -56,9 +98,9 @@
 ) -> AllowanceLimit:
     """Return the limit for a workspace in a fleet of `instances`.
 
-    A token is used within `TOKEN_LIFETIME` after its grant, so operations keep to the
-    bound in every window if grants do so in `window` + `TOKEN_LIFETIME`. Tokens of a
-    floor are used where they are made, without that delay.
+    A token is used within its life, so operations keep to the bound in every window
+    if grants do so in a window that is longer by that life. Tokens of a floor are
+    used where they are made, without that delay.
 
     Parameters
     ----------
@@ -69,20 +111,22 @@
     slack : float
         Operations that the bound allows beyond rate and burst.
     """
-    span = window + TOKEN_LIFETIME
+    lifetime = compute_lifetime(rate, bound, window)
+    span = window + lifetime
     reserved = min(bound, 1.0 + MIN_DEPTH_SECONDS * rate)
     filled = min(rate, (bound - reserved) / span)
     spare = bound - filled * span
     floor_rate = filled / instances
-    unfilled = max(0.0, 1.0 - floor_rate * TOKEN_LIFETIME)
-    has_floor = instances * unfilled <= spare
     credits = min(CREDIT_SHARE * spare, MAX_CREDITS)
+    unfilled = max(0.0, 1.0 - floor_rate * lifetime)
+    has_floor = instances * unfilled <= spare - credits
     return AllowanceLimit(
         rate=filled,
         depth=min(max(burst + slack, 1.0), spare - credits),
         floor_rate=floor_rate if has_floor else 0.0,
-        floor_depth=max(1.0, floor_rate * TOKEN_LIFETIME) if has_floor else 0.0,
-        credit=credits / 2,
+        floor_depth=max(1.0, floor_rate) if has_floor else 0.0,
+        credits=credits,
+        lifetime=lifetime,
     )
 
 
@@ -109,47 +153,68 @@
 
     Attributes
     ----------
-    level : float
-        Tokens that can be granted.
+    credit : float
+        Tokens besides those of the rate; the depth does not limit them.
     """
 
-    def __init__(self, now: float):
-        self.level = 0.0
+    def __init__(self, now: float, credit: float):
+        self.credit = credit
+        self._level = 0.0
         self._depth = 0.0
         self._base = 0.0  # level before the first slot
         self._slots = deque([_Slot(find_slot(now))])
 
-    def fill(self, now: float, amount: float, depth: float) -> None:
-        """Add `amount` tokens; hold at most `depth`."""
+    @property
+    def level(self) -> float:
+        """Return the tokens that can be granted."""
+        return self._level + self.credit
+
+    def fill(self, now: float, amount: float, depth: float, lifetime: float) -> None:
+        """Add `amount` tokens with a given life; hold at most `depth`."""
         index = find_slot(now)
         if index != self._slots[-1].index:
             self._slots.append(_Slot(index))
         self._slots[-1].filled += amount
         self._depth = depth
-        self.level = min(depth, self.level + amount)
-        while self._slots[0].index < index - RETURN_LIMIT / SLOT:
+        self._level = min(depth, self._level + amount)
+        oldest = index - (lifetime + RETURN_MARGIN) / SLOT
+        while self._slots[0].index < oldest:
             self._base = self._apply(self._base, self._slots.popleft())
 
     def add(self, count: float) -> None:
         """Add tokens besides those of the rate."""
         self._slots[-1].filled += count
-        self.level = min(self._depth, self.level + count)
+        self._level = min(self._depth, self._level + count)
 
     def take(self, wanted: int) -> int:
         """Take up to `wanted` whole tokens and return how many."""
         granted = max(0, min(wanted, int(self.level)))
-        self.level -= granted
+        # Credit makes up what the level lacks, also a part of a token.
+        credited = min(granted, math.ceil(max(0.0, granted - self._level)))
+        if credited > self.credit:
+            credited = int(self.credit)
+            granted = min(granted, credited + int(max(0.0, self._level)))
+        self.credit -= credited
+        self._level -= granted - credited
+        # Credit is filled in when it is granted, so that it can be returned.
+        self._slots[-1].filled += credited
         self._slots[-1].granted += granted
         return granted
 
+    def lapse_credit(self) -> None:
+        """Move the rest of the credit to the level."""
+        if self.credit:
+            self.add(self.credit)
+            self.credit = 0.0
+
     def give_back(self, slot_index: int, count: int) -> int:
         """Undo the grant of `count` tokens in a slot; return how many were undone."""
         for slot in self._slots:
             if slot.index == slot_index:
-                count = max(0, min(count, slot.granted))
-                slot.granted -= count
-                self.level = max(self.level, self._compute_level())
-                return count
+                undone = max(0, min(count, slot.granted))
+                slot.granted -= undone
+                self._level = max(self._level, self._compute_level())
+                return undone
         return 0
 
     def _compute_level(self) -> float:
@@ -162,33 +227,66 @@
         return min(self._depth, level + slot.filled) - slot.granted
 
 
+@dataclass(frozen=True, slots=True)
+class TokenDemand:
+    """What an instance wants for one workspace.
+
+    Attributes
+    ----------
+    instance : str
+        Name of the instance.
+    wanted : int
+        Tokens that it wants.
+    urgent : int
+        Those among them for which operations wait.
+    rate : float
+        Operations per second that arrive there.
+    idle : float
+        Seconds since the last of them.
+    returned : int
+        Tokens that it has just returned.
+    """
+
+    instance: str
+    wanted: int
+    urgent: int
+    rate: float
+    idle: float
+    returned: int = 0
+
+
 @dataclass(slots=True)
 class DemandShares:
     """Recent demand of each instance for the operations of one workspace."""
 
     total: float = 0.0
-    _demands: dict[str, tuple[float, float]] = field(default_factory=dict)
-
-    def record(self, instance: str, rate: float, now: float) -> float:
-        """Record operations per second; return the instance's share of the total.
+    _rates: dict[str, tuple[float, float]] = field(default_factory=dict)
+    _used_at: dict[str, float] = field(default_factory=dict)
 
-        Parameters
-        ----------
-        instance : str
-            Name of the instance.
-        """
+    def record(self, demand: TokenDemand, now: float) -> float:
+        """Record a demand; return the instance's share of the total."""
         # Kept in the order of the reports, so that the oldest is first.
-        known = self._demands.pop(instance, None)
+        known = self._rates.pop(demand.instance, None)
         if known is not None:
             self.total -= known[0]
-        self._demands[instance] = (rate, now)
-        self.total += rate
-        for name, (old_rate, at) in list(self._demands.items()):
+        self._rates[demand.instance] = (demand.rate, now)
+        self._used_at[demand.instance] = now - demand.idle
+        self.total += demand.rate
+        for name, (old_rate, at) in list(self._rates.items()):
             if at >= now - DEMAND_LIFETIME:
                 break
-            del self._demands[name]
+            del self._rates[name]
             self.total -= old_rate
-        return 1.0 if self.total <= rate or rate <= 0 else rate / self.total
+        is_alone = self.total <= demand.rate or demand.rate <= 0
+        return 1.0 if is_alone else demand.rate / self.total
+
+    def count_later(self, instance: str, now: float) -> int:
+        """Return how many other instances have served the workspace later."""
+        limit = now - STOCK_TIME
+        for name in [n for n, at in self._used_at.items() if at < limit]:
+            del self._used_at[name]
+        used_at = self._used_at.get(instance, -math.inf)
+        return sum(at > used_at for at in self._used_at.values())
 
 
 @dataclass(slots=True)
@@ -244,55 +342,62 @@
         """
         amount = limit.rate * (heard.value - self.heard_time)
         self.heard_time = heard.value
-        self.bucket.fill(now, amount, limit.depth * heard.share)
+        depth = limit.depth * heard.share
+        self.bucket.fill(now, amount, depth, limit.lifetime)
 
     def grant(
-        self,
-        instance: str,
-        wanted: int,
-        urgent: int,
-        demand: float,
-        now: float,
-        rate: float,
+        self, demand: TokenDemand, now: float, rate: float, depth: float
     ) -> tuple[int, float]:
         """Return the tokens granted to an instance, and the seconds until more.
 
-        In order of arrival while there are enough. When they are scarce, nothing is
-        kept in stock at instances; if the fleet wants more than the rate as well, an
-        instance gets its share of what there is, and one token at least for an
-        operation that waits.
+        In order of arrival while there are enough. When they are scarce and the fleet
+        wants more than the rate, an instance gets its share of what there is, and one
+        token at least for an operation that waits.
 
         Parameters
         ----------
-        wanted : int
-            Tokens that the instance wants.
-        urgent : int
-            Those among them for which operations wait.
-        demand : float
-            Operations per second that arrive there.
         rate : float
             Tokens per second with which the bucket is filled.
+        depth : float
+            Tokens that the bucket can hold.
         """
-        share = self.shares.record(instance, demand, now)
-        limit = wanted
+        share = self.shares.record(demand, now)
+        urgent = min(demand.wanted, demand.urgent)
+        limit = urgent + self._limit_stock(demand, now, rate, depth)
         excess = 0.0
-        if self.bucket.level < SCARCE_SECONDS * rate:
-            limit = min(wanted, urgent)
-            if self.shares.total > rate:
-                excess = 1.0 - rate / self.shares.total
-                fair = int(self.bucket.level * share)
-                limit = min(wanted, max(fair, min(1, urgent)))
+        is_scarce = self.bucket.level < SCARCE_SECONDS * rate
+        if is_scarce and self.shares.total > rate:
+            excess = 1.0 - rate / self.shares.total
+            fair = int(self.bucket.level * share)
+            limit = min(demand.wanted, max(fair, min(1, urgent)))
         granted = self.bucket.take(limit)
         self.granted += granted
-        if granted >= wanted:
+        if granted >= demand.wanted:
             return granted, 0.0
         if rate <= 0:
             return granted, DEMAND_LIFETIME
         until_next = max(0.0, 1.0 - self.bucket.level) / rate
         # An instance's next token comes after 1 / (share * rate), of which the excess
         # is the part for which it has to wait.
-        return granted, max(until_next, excess / (share * rate))
+        return granted, max(until_next, WAIT_SHARE * excess / (share * rate))
 
-    def give_back(self, slot_index: int, count: int) -> None:
-        """Undo the grant of tokens that an instance has not used."""
-        self.returned += self.bucket.give_back(slot_index, count)
+    def _limit_stock(
+        self, demand: TokenDemand, now: float, rate: float, depth: float
+    ) -> int:
+        """Return how many tokens an instance may get besides the urgent ones.
+
+        Those that it has just returned, or what the bucket can spare, if it is one of
+        the last that served the workspace.
+        """
+        stock = max(0, demand.wanted - demand.urgent)
+        if not stock or self.shares.count_later(demand.instance, now) >= depth - 1:
+            return 0
+        reserve = 1.0 + STOCK_RESERVE_SECONDS * rate
+        spare = int(self.bucket.level - reserve) - demand.urgent
+        return min(stock, max(demand.returned, spare, 0))
+
+    def give_back(self, slot_index: int, count: int) -> int:
+        """Undo the grant of tokens that an instance has not used; return how many."""
+        undone = self.bucket.give_back(slot_index, count)
+        self.returned += undone
+        return undone
