--- a/src/burdocksail/fakes/quota_messages_test.py
+++ b/src/burdocksail/fakes/quota_messages_test.py
@@ -1,4 +1,4 @@
-"""Messages that quotas take under calm load, and a leader that is slow or overloaded."""
+"""Messages that quotas take under calm load, and with an overloaded leader."""
 
 import asyncio
 import functools
--- a/src/burdocksail/serving/_allowances.py
+++ b/src/burdocksail/serving/_allowances.py
@@ -42,13 +42,14 @@
 # too few tokens. 18 instances send at most 180 requests/s then, and 60 renewals/s.
 REFUSED_INTERVAL = 0.05
 MIN_REQUEST_INTERVAL = 0.02  # seconds, otherwise
+TIMER_MARGIN = 0.001  # seconds
 MIN_RETRY_AFTER = 0.1  # seconds
 # A demand takes its workspace's name and some 60 bytes. With the other fields, a
 # datagram is then below 1,200 bytes.
 MAX_DEMAND_BYTES = 1000
 MAX_RIDING_BYTES = 600  # in a renewal
 DEMAND_BYTES = 60
-IDLE_TIMEOUT = 20.0  # seconds until the state of an idle workspace is dropped
+IDLE_TIMEOUT = 40.0  # seconds until the state of an idle workspace is dropped
 DESCRIBED_WORKSPACES = 10
 
 
@@ -426,6 +427,8 @@
         if not self._flush_scheduled:
             self._flush_scheduled = True
             delay = max(0.0, self._next_request_at - self._board.now())
+            # A timer may end slightly before its time.
+            delay += TIMER_MARGIN if delay else 0.0
             asyncio.get_running_loop().call_later(delay, self._flush)
 
     def _flush(self) -> None:
@@ -447,8 +450,19 @@
         demands = self._make_demands(waiting, MAX_DEMAND_BYTES, urgent_only=True)
         if demands:
             self._send_request(self._open(demands, rides=False))
+        else:
+            self._flush_when_filled(waiting)
         self._resend_riding()
 
+    def _flush_when_filled(self, waiting: list[_Holding]) -> None:
+        """Ask again when the leader expects to have tokens for operations that wait."""
+        now = self._board.now()
+        refused = [h.stock.exhausted_until for h in waiting]
+        until = min((u for u in refused if u > now), default=None)
+        if until is not None:
+            self._next_request_at = max(self._next_request_at, until)
+            self._schedule_flush()
+
     def _resend_riding(self) -> None:
         """Send demands that ride on renewals again if operations wait for them."""
         sent = self._requests.find_awaited(rides=True)
@@ -517,7 +531,7 @@
     def _make_demand(
         self, holding: _Holding, now: float, urgent_only: bool
     ) -> list[AllowanceDemand]:
-        """Return the demand for a workspace, one more for each further batch returned."""
+        """Return the demand for a workspace, and one for each further batch."""
         stock = holding.stock
         waiting = len(holding.waiters)
         if urgent_only and stock.compute_missing(now, waiting) <= 0:
--- a/src/burdocksail/traffic/_allowances.py
+++ b/src/burdocksail/traffic/_allowances.py
@@ -22,9 +22,8 @@
 MIN_DEPTH_SECONDS = 0.2
 # Tokens with which all leaders in one window may begin together: they let the first
 # operations of small workspaces through, which would wait for seconds otherwise.
-CREDIT_SHARE = 0.5  # of what the bound allows beyond the rate
-MAX_CREDITS = 15.0
-FIRST_CREDIT = 1 / 3  # share of the credits for one leadership, at most
+CREDIT_SHARE = 0.4  # of what the bound allows beyond the rate
+MAX_CREDITS = 12.0
 # Tokens are scarce if there are fewer than are filled in during this time.
 SCARCE_SECONDS = 0.2
 # Part of the time until an instance's next token that operations are told to wait.
@@ -32,7 +31,7 @@
 WAIT_SHARE = 0.7
 SLOT = 0.1  # seconds; grants are recorded with this precision
 RETURN_MARGIN = 1.0  # seconds after their life in which tokens can be returned
-STOCK_TIME = 15.0  # seconds for which an instance that served a workspace has a stock
+STOCK_TIME = 30.0  # seconds for which an instance that served a workspace has a stock
 # Tokens that are not granted for stocks: one, and what is filled in during this time.
 STOCK_RESERVE_SECONDS = 0.05
 DEMAND_LIFETIME = 1.0  # seconds; an instance with demand reports it several times
@@ -82,15 +81,17 @@
 def compute_credit_share(leaderships: int) -> float:
     """Return the share of the credits for a leadership.
 
-    The shares of any number of leaderships add up to 1. The first two are alike: an
-    instance that has just started does not know of earlier ones.
+    The shares of any number of leaderships add up to 1. A leader that has just started
+    does not know of earlier ones, as after a restart of all instances. It takes a
+    half like the first: tokens that were out are lost then, and the bound would need
+    three such restarts within one window to be exceeded.
 
     Parameters
     ----------
     leaderships : int
         Others that began in the same window.
     """
-    return min(FIRST_CREDIT, 2 * FIRST_CREDIT * 0.5**leaderships)
+    return 0.5 ** (1 + leaderships)
 
 
 def compute_limit(
@@ -280,6 +281,10 @@
         is_alone = self.total <= demand.rate or demand.rate <= 0
         return 1.0 if is_alone else demand.rate / self.total
 
+    def count_recent(self) -> int:
+        """Return how many instances have lately served the workspace."""
+        return max(1, len(self._used_at))
+
     def count_later(self, instance: str, now: float) -> int:
         """Return how many other instances have served the workspace later."""
         limit = now - STOCK_TIME
@@ -386,15 +391,16 @@
     ) -> int:
         """Return how many tokens an instance may get besides the urgent ones.
 
-        Those that it has just returned, or what the bucket can spare, if it is one of
-        the last that served the workspace.
+        Those that it has just returned, or its part of what the bucket can spare, if
+        it is one of the last that served the workspace.
         """
         stock = max(0, demand.wanted - demand.urgent)
         if not stock or self.shares.count_later(demand.instance, now) >= depth - 1:
             return 0
         reserve = 1.0 + STOCK_RESERVE_SECONDS * rate
         spare = int(self.bucket.level - reserve) - demand.urgent
-        return min(stock, max(demand.returned, spare, 0))
+        part = math.ceil(spare / self.shares.count_recent())
+        return min(stock, max(demand.returned, part, 0))
 
     def give_back(self, slot_index: int, count: int) -> int:
         """Undo the grant of tokens that an instance has not used; return how many."""
