--- a/src/burdocksail/fakes/quota_messages_test.py
+++ b/src/burdocksail/fakes/quota_messages_test.py
@@ -13,7 +13,7 @@
     run_in_virtual_time,
     silence_logs,
 )
-from burdocksail.fleet import AllowanceRequest
+from burdocksail.fleet import AllowanceRequest, Renew
 
 SIZE_EXPONENT = 1.2
 RATE_FACTOR = 1.6  # of a workspace's usual load
@@ -149,3 +149,56 @@
 
     def test_few_messages_with_18_instances(self):
         self.check(18, 78, 130.0)
+
+
+class OverloadedLeaderTest(unittest.TestCase):
+    """Requests and resends saturated the leader, and its late grants were ignored."""
+
+    HANDLING_TIME = 1 / 250  # seconds; 18 instances of 0.12 core
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        silence_logs()
+
+    def prepare(self, world: QuotaWorld) -> OverloadedHost:
+        return OverloadedHost(world, world.find_leader(), self.HANDLING_TIME)
+
+    def test_leader_keeps_up_when_one_workspace_sends_far_more(self):
+        load = StickyLoad(78, 130.0)
+
+        def rate(name: str, at: float) -> float:
+            peaks = name == load.largest and 8.0 <= at < 15.0
+            return load.rates[name] * (7.5 if peaks else 1.0)
+
+        world, counts, host = play(18, load, rate=rate, prepare=self.prepare)
+        self.assertLess(host.longest_queue, 0.3)
+        sent = counts[AllowanceRequest] + counts[Renew]
+        self.assertLess(sent / (DURATION - START), 200)
+        # The others are served as before, and the largest gets what its rate allows.
+        others = [r for name, r in world.records.items() if name != load.largest]
+        offered = sum(r.offered for r in others)
+        self.assertLess(sum(r.lost for r in others), offered / 200)
+        largest = world.records[load.largest]
+        peak = [at for at in largest.arrivals if 8.5 <= at - world.started_at < 15.0]
+        self.assertGreater(len(peak), 0.9 * load.workspaces[0].rate * 6.5)
+
+    def test_grants_of_a_slow_leader_are_used(self):
+        """Late answers were ignored, so that each operation asked again."""
+
+        def prepare(world: QuotaWorld) -> None:
+            leader = world.find_leader()
+            receive = leader.receive
+
+            def delay(message: object, address: tuple[str, int]) -> None:
+                loop = asyncio.get_running_loop()
+                loop.call_later(0.4, receive, message, address)
+
+            leader.receive = delay
+
+        load = StickyLoad(78, 130.0)
+        world, counts, _ = play(18, load, prepare=prepare)
+        offered = sum(r.offered for r in world.records.values())
+        lost = sum(r.lost for r in world.records.values())
+        self.assertLess(lost, offered / 20)
+        # Each instance has one request in flight, and sends none again.
+        self.assertLess(counts[AllowanceRequest] / (DURATION - START), 18 * 1.2)
