--- a/src/burdocksail/authority/_follower.py
+++ b/src/burdocksail/authority/_follower.py
@@ -59,6 +59,9 @@
     def collect_demands(self) -> AllowanceDemands | None:
         """Return the demands for the next renewal, None without any."""
 
+    def record_round_trip(self, seconds: float) -> None:
+        """Record the time from a renewal to its answer."""
+
     def receive(self, epoch: int, allowances: Allowances) -> None:
         """Add the tokens of an answer."""
 
@@ -269,6 +272,7 @@
         quotas.record_sign(now, grant.leader_time)
         if self._started_at <= grant.echo <= now:
             quotas.record_answer(now, grant.registered)
+            self._allowances.record_round_trip(now - grant.echo)
 
     def _make_renewal(self) -> Renew:
         board = self._board
--- a/src/burdocksail/serving/_allowance_requests.py
+++ b/src/burdocksail/serving/_allowance_requests.py
@@ -19,7 +19,7 @@
 
 @dataclass(slots=True)
 class RoundTrips:
-    """Average time from demands to their answer, and its deviation."""
+    """Average time from a renewal to its answer, and its deviation."""
 
     average: float = INITIAL_ROUND_TRIP
     deviation: float = 0.0
@@ -100,20 +100,33 @@
             (s for s in self._sent.values() if s.is_awaited and s.rides == rides), None
         )
 
+    def find_overdue(self, now: float) -> SentDemands | None:
+        """Return demands of a renewal whose answer should have come by now."""
+        limit = now - max(MIN_RESEND_DELAY, self.round_trips.estimate_longest())
+        return next(
+            (
+                s
+                for s in self._sent.values()
+                if s.is_awaited and s.rides and s.sent_at <= limit
+            ),
+            None,
+        )
+
+    def find_latest(self) -> float | None:
+        """Return when the latest demands that are in flight were sent."""
+        times = (s.sent_at for s in self._sent.values() if s.is_awaited)
+        return max(times, default=None)
+
     def find(self, number: int) -> SentDemands | None:
         """Return unanswered demands by their number."""
         return self._sent.get(number)
 
-    def close(self, number: int, epoch: int, now: float) -> SentDemands | None:
+    def close(self, number: int, epoch: int) -> SentDemands | None:
         """Remove demands that are answered; None if they are not known."""
         sent = self._sent.get(number)
         if sent is None or sent.epoch != epoch:
             return None
         del self._sent[number]
-        if sent.is_awaited and not sent.is_resent:
-            self.round_trips.record(now - sent.sent_at)
-        elif not sent.is_awaited:
-            self.round_trips.record(ANSWER_LIFETIME)
         return sent
 
     def expire(self, now: float, epoch: int, max_age: float) -> list[SentDemands]:
--- a/src/burdocksail/serving/_allowances.py
+++ b/src/burdocksail/serving/_allowances.py
@@ -34,7 +34,7 @@
     find_floor_start,
 )
 
-RENEW_INTERVAL = 0.3  # seconds, at the leader itself; as the renewals of leases
+RENEW_INTERVAL = 0.3  # seconds between renewals of the lease
 # An operation waits for tokens that the leader expects within this time, as long as
 # the limit below allows it.
 MAX_GRANT_WAIT = 0.05  # seconds
@@ -199,7 +199,7 @@
         that are granted nor those that are returned are lost with a message.
         """
         self._drop_expired()
-        sent = self._requests.find_awaited(rides=True)
+        sent = self._requests.find_overdue(self._board.now())
         if sent is not None:
             sent.is_resent = True
             return sent.demands
@@ -241,10 +241,14 @@
         self._board.metrics.count(f"allowances_{outcome}")
         return usable_until
 
+    def record_round_trip(self, seconds: float) -> None:
+        """Record the time from a renewal to its answer."""
+        self._requests.round_trips.record(seconds)
+
     def receive(self, epoch: int, allowances: Allowances) -> None:
         """Add the tokens of an answer, unless it has been given before."""
         now = self._board.now()
-        sent = self._requests.close(allowances.number, epoch, now)
+        sent = self._requests.close(allowances.number, epoch)
         if sent is None:
             self._board.metrics.count("allowance_grants_ignored")
             return
@@ -416,10 +420,15 @@
 
     def _expect_answer(self, holding: _Holding) -> None:
         """Record when tokens will be here that have not come in time."""
+        now = self._board.now()
         longest = self._requests.round_trips.estimate_longest()
-        wait = max(longest - ANSWER_TIMEOUT, MIN_RETRY_AFTER)
         stock = holding.stock
-        stock.retry_at = max(stock.retry_at, self._board.now() + wait)
+        # Without tokens in flight, the next renewal asks for them.
+        sent_at = self._requests.find_latest() if stock.asked else None
+        if sent_at is None:
+            sent_at = now + RENEW_INTERVAL
+        expected_at = max(sent_at + longest, now + MIN_RETRY_AFTER)
+        stock.retry_at = max(stock.retry_at, expected_at)
         stock.retry_interval = 0.0
 
     def _schedule_flush(self) -> None:
@@ -541,7 +550,9 @@
         unused = stock.take_unused(now, epoch, lifetime)
         wanted = 0
         if now >= stock.exhausted_until:
-            wanted = stock.compute_wanted(now, waiting)
+            # Until the next renewal, and its answer.
+            lasting = RENEW_INTERVAL + self._requests.round_trips.average
+            wanted = stock.compute_wanted(now, waiting, lasting)
         if not wanted and not unused:
             return []
         missing = max(0, stock.compute_missing(now, waiting))
--- a/src/burdocksail/traffic/_allowance_stock.py
+++ b/src/burdocksail/traffic/_allowance_stock.py
@@ -16,8 +16,7 @@
 # Seconds, and share of the life, before a token can no longer be used, from which it
 # is exchanged. A lost renewal, every 0.3 s, leaves time for another one.
 RETURN_BEFORE = 1.0
-RETURN_SHARE = 0.5
-STOCK_SECONDS = 0.4  # of recent demand in stock: a renewal and a round trip
+RETURN_SHARE = 0.4
 STOCK_DEVIATIONS = 2.0  # of the operations in that time, kept besides
 # Averaging times of the demand: the short one follows a peak.
 SHORT_AVERAGE = 0.5  # seconds
@@ -66,15 +65,21 @@
         self._decay(now)
         return max(0.0, self._short - last)
 
-    def compute_stock(self, now: float) -> int:
-        """Return how many tokens should be in stock."""
+    def compute_stock(self, now: float, seconds: float) -> int:
+        """Return how many tokens should be in stock.
+
+        Parameters
+        ----------
+        seconds : float
+            Time for which they have to last.
+        """
         self._decay(now)
         if now > self._arrived_at + STOCK_TIME:
             return 0
         age = max(MIN_AVERAGE, now - self._began_at)
         long_rate = self._long / (1.0 - math.exp(-age / LONG_AVERAGE))
         rate = max(long_rate, self._short - PEAK_ARRIVALS / SHORT_AVERAGE)
-        expected = rate * STOCK_SECONDS
+        expected = rate * seconds
         deviation = STOCK_DEVIATIONS * math.sqrt(expected)
         return max(1, math.ceil(expected + deviation))
 
@@ -260,10 +265,16 @@
         """
         return waiting + self.reserved - self.count(now) - self.asked
 
-    def compute_wanted(self, now: float, waiting: int) -> int:
-        """Return how many tokens to ask for, 0 if there are enough."""
+    def compute_wanted(self, now: float, waiting: int, seconds: float) -> int:
+        """Return how many tokens to ask for, 0 if there are enough.
+
+        Parameters
+        ----------
+        seconds : float
+            Time for which the stock has to last.
+        """
         missing = self.compute_missing(now, waiting)
-        return max(0, missing + self.demand.compute_stock(now))
+        return max(0, missing + self.demand.compute_stock(now, seconds))
 
     def record_refusal(self, now: float, wait: float, rate: float) -> None:
         """Record that the leader had fewer tokens than wanted.
