--- a/src/burdocksail/fakes/_quota_world.py
+++ b/src/burdocksail/fakes/_quota_world.py
@@ -237,6 +237,8 @@
     offered, refused, lost : int
         Operations; those refused at the first attempt; those that were refused at
         every attempt.
+    refusals : list of (float, bool)
+        When operations came, and whether they were refused at the first attempt.
     waits : list of float
         Seconds that operations which were not refused waited for a token.
     """
@@ -245,8 +247,24 @@
     offered: int = 0
     refused: int = 0
     lost: int = 0
+    refusals: list[tuple[float, bool]] = field(default_factory=list)
     waits: list[float] = field(default_factory=list)
 
+    def count_refused_below(self, workspace: Workspace, since: float) -> int:
+        """Return how many operations a single bucket of that size would not refuse.
+
+        Counts those that came after `since` and were refused.
+        """
+        depth = max(1.0, workspace.burst)
+        level, filled_at, refused = depth, 0.0, 0
+        for at, was_refused in sorted(self.refusals):
+            level = min(depth, level + workspace.rate * (at - filled_at))
+            filled_at = at
+            if level >= 1.0:
+                level -= 1.0
+                refused += was_refused and at >= since
+        return refused
+
     def find_peak(self, window: float) -> int:
         """Return the largest number of arrivals in any window."""
         recent: deque[float] = deque()
@@ -393,8 +411,12 @@
             began = loop.time()
             try:
                 reservation = await instance.holder.take(name)
+                if attempt == 0:
+                    record.refusals.append((began, False))
             except CommandFailed as error:
                 record.refused += attempt == 0
+                if attempt == 0:
+                    record.refusals.append((began, True))
                 await asyncio.sleep(error.retry_after)
                 continue
             waited = loop.time() - began
