--- a/src/burdocksail/fakes/_quota_world.py
+++ b/src/burdocksail/fakes/_quota_world.py
@@ -9,7 +9,7 @@
 import random
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from burdocksail.authority import AllowanceIssuer, Follower
 from burdocksail.board import Blackboard, Member, QuotaBounds
@@ -17,9 +17,11 @@
 from burdocksail.fakes._virtual_loop import LoopClock
 from burdocksail.fleet import (
     Address,
+    AllowanceDemands,
     AllowanceGrant,
     AllowanceHandover,
     AllowanceRequest,
+    Allowances,
     Grant,
     Message,
     NotLeader,
@@ -107,8 +109,8 @@
         self.board.catalog.catalog = world.catalog
         self.board.members.registered = world.registered
         world.registered[member.name] = member
-        self.follower = Follower(self.board, self, _NoSnapshots())
         self.holder = AllowanceHolder(self.board, self.send, self.issue)
+        self.follower = Follower(self.board, self, _NoSnapshots(), self.holder)
         self.issuer: AllowanceIssuer | None = None
         self.has_former_left = False
         self._tasks = [
@@ -149,17 +151,20 @@
         elif isinstance(message, NotLeader):
             self.follower.handle_not_leader(message)
         elif isinstance(message, AllowanceRequest):
-            grant = self.issue(message)
-            if grant is not None:
+            answer = self.issue(message.member, message.epoch, message.demands)
+            if answer is not None:
+                grant = AllowanceGrant(self.board.member, message.epoch, answer)
                 self.send(address, grant)
         elif isinstance(message, AllowanceGrant):
-            self.holder.handle_grant(message)
+            self.holder.receive(message.epoch, message.allowances)
         elif isinstance(message, AllowanceHandover) and self.leads:
             self.issuer.receive_handover(message)
 
-    def issue(self, request: AllowanceRequest) -> AllowanceGrant | None:
-        """Return the tokens for a request, None while this instance does not lead."""
-        return self.issuer.answer(request) if self.leads else None
+    def issue(
+        self, member: Member, epoch: int, demands: AllowanceDemands
+    ) -> Allowances | None:
+        """Return the answer to demands, None while this instance does not lead."""
+        return self.issuer.answer(member, epoch, demands) if self.leads else None
 
     def lead(self, epoch: int, former: Member | None) -> None:
         """Begin a leadership and notify all instances."""
@@ -195,7 +200,11 @@
             and renewal.epoch >= self.board.authority.epoch
         ):
             self.has_former_left = True
-        self.send(renewal.member.address, self._make_grant(renewal.sent_at))
+        answer = None
+        if renewal.allowances is not None:
+            answer = self.issue(renewal.member, renewal.epoch, renewal.allowances)
+        grant = replace(self._make_grant(renewal.sent_at), allowances=answer)
+        self.send(renewal.member.address, grant)
 
     def _make_grant(self, echo: float) -> Grant:
         authority = self.board.authority
@@ -228,6 +237,8 @@
     offered, refused, lost : int
         Operations; those refused at the first attempt; those that were refused at
         every attempt.
+    refusals : list of (float, bool)
+        When operations came, and whether they were refused at the first attempt.
     waits : list of float
         Seconds that operations which were not refused waited for a token.
     """
@@ -236,8 +247,24 @@
     offered: int = 0
     refused: int = 0
     lost: int = 0
+    refusals: list[tuple[float, bool]] = field(default_factory=list)
     waits: list[float] = field(default_factory=list)
 
+    def count_refused_below(self, workspace: Workspace, since: float) -> int:
+        """Return how many operations a single bucket of that size would not refuse.
+
+        Counts those that came after `since` and were refused.
+        """
+        depth = max(1.0, workspace.burst)
+        level, filled_at, refused = depth, 0.0, 0
+        for at, was_refused in sorted(self.refusals):
+            level = min(depth, level + workspace.rate * (at - filled_at))
+            filled_at = at
+            if level >= 1.0:
+                level -= 1.0
+                refused += was_refused and at >= since
+        return refused
+
     def find_peak(self, window: float) -> int:
         """Return the largest number of arrivals in any window."""
         recent: deque[float] = deque()
@@ -275,6 +302,7 @@
         self.by_host: dict[str, QuotaInstance] = {}
         self.records = {w.name: WorkspaceRecord() for w in workspaces}
         self.epoch = 0
+        self.started_at = 0.0
         self.catalog: Catalog | None = None
         self._runs = 0
         self._tasks: set[asyncio.Task] = set()
@@ -322,7 +350,7 @@
         self,
         duration: float,
         rate: Callable[[str, float], float],
-        choose: Callable[[float], QuotaInstance] | None = None,
+        choose: Callable[[float, str], QuotaInstance] | None = None,
     ) -> None:
         """Send operations at random times, until `duration` seconds have passed.
 
@@ -331,10 +359,11 @@
         rate : callable
             Operations per second of a workspace, at a time since the start.
         choose : callable, optional
-            Returns the instance for an operation; any at random by default.
+            Returns the instance for an operation of a workspace at a time; any at
+            random by default.
         """
         loop = asyncio.get_running_loop()
-        started = loop.time()
+        started = self.started_at = loop.time()
         feeders = [
             asyncio.create_task(
                 self._feed(name, started, duration, rate, choose or self._choose)
@@ -350,7 +379,7 @@
         for instance in list(self.by_host.values()):
             self.kill(instance)
 
-    def _choose(self, now: float) -> QuotaInstance:
+    def _choose(self, now: float, name: str) -> QuotaInstance:
         return self.random.choice(list(self.by_host.values()))
 
     async def _renew_leaders(self) -> None:
@@ -376,14 +405,18 @@
         record = self.records[name]
         record.offered += 1
         for attempt in range(1 + self.retries):
-            instance = choose(loop.time() - started)
+            instance = choose(loop.time() - started, name)
             if instance is None or instance.host in self.network.frozen:
                 return
             began = loop.time()
             try:
                 reservation = await instance.holder.take(name)
+                if attempt == 0:
+                    record.refusals.append((began, False))
             except CommandFailed as error:
                 record.refused += attempt == 0
+                if attempt == 0:
+                    record.refusals.append((began, True))
                 await asyncio.sleep(error.retry_after)
                 continue
             waited = loop.time() - began
