--- a/src/burdocksail/serving/_allowances.py
+++ b/src/burdocksail/serving/_allowances.py
@@ -41,8 +41,10 @@
 # Seconds between an answer and the next request of an instance, after the leader had
 # too few tokens. 18 instances send at most 180 requests/s then, and 60 renewals/s.
 REFUSED_INTERVAL = 0.05
+# Operations wait for the next renewal if it is due within this time.
+RENEWAL_WAIT = 0.05  # seconds
 MIN_REQUEST_INTERVAL = 0.02  # seconds, otherwise
-TIMER_MARGIN = 0.001  # seconds
+TIMER_MARGIN = 0.002  # seconds
 MIN_RETRY_AFTER = 0.1  # seconds
 # A demand takes its workspace's name and some 60 bytes. With the other fields, a
 # datagram is then below 1,200 bytes.
@@ -180,6 +182,7 @@
         self._limits_key: tuple = ()
         self._flush_scheduled = False
         self._next_request_at = float("-inf")
+        self._next_renewal_at = float("-inf")
         self._floor_start: float | None = None
         self._log = get_logger()
 
@@ -199,7 +202,9 @@
         that are granted nor those that are returned are lost with a message.
         """
         self._drop_expired()
-        sent = self._requests.find_overdue(self._board.now())
+        now = self._board.now()
+        self._next_renewal_at = now + RENEW_INTERVAL
+        sent = self._requests.find_overdue(now)
         if sent is not None:
             sent.is_resent = True
             return sent.demands
@@ -435,7 +440,11 @@
         """Send a request once all tasks that are ready now have asked for tokens."""
         if not self._flush_scheduled:
             self._flush_scheduled = True
-            delay = max(0.0, self._next_request_at - self._board.now())
+            now = self._board.now()
+            send_at = max(now, self._next_request_at)
+            if send_at < self._next_renewal_at <= send_at + RENEWAL_WAIT:
+                send_at = self._next_renewal_at
+            delay = send_at - now
             # A timer may end slightly before its time.
             delay += TIMER_MARGIN if delay else 0.0
             asyncio.get_running_loop().call_later(delay, self._flush)
