--- /dev/null
+++ b/src/burdocksail/traffic/allowance_lifetimes_test.py
@@ -0,0 +1,126 @@
+"""Lives of tokens, start values of buckets, and what instances keep in stock."""
+
+import math
+import unittest
+
+from burdocksail.board import QuotaBounds
+from burdocksail.traffic import (
+    MAX_LIFETIME,
+    MIN_LIFETIME,
+    AllowanceBucket,
+    AllowanceLedger,
+    AllowanceStock,
+    Batch,
+    TokenDemand,
+    compute_credit_share,
+    compute_lifetime,
+    compute_limit,
+    find_slot,
+)
+
+BOUNDS = QuotaBounds(5.0, 0.1, 20.0)
+
+
+def find_lifetime(rate: float) -> float:
+    return compute_lifetime(rate, BOUNDS.compute_bound(rate, rate), BOUNDS.window)
+
+
+class LifetimeTest(unittest.TestCase):
+    def test_small_rates_have_long_lives(self):
+        """A life of 1 s for all took a request for each operation."""
+        self.assertGreaterEqual(find_lifetime(1.0), 10.0)
+        self.assertAlmostEqual(find_lifetime(157.0), 1.0, delta=0.1)
+        for rate in (0.0, 0.01, 0.3, 5.0, 1e6):
+            self.assertTrue(MIN_LIFETIME <= find_lifetime(rate) <= MAX_LIFETIME)
+
+    def test_grants_in_a_window_and_a_life_keep_to_the_bound(self):
+        """A longer life would let more tokens be used in a window than the bound."""
+        for rate in (0.05, 0.3, 1.0, 3.0, 20.0, 157.0, 5000.0):
+            for burst in (0.0, rate, 10 * rate):
+                bound = BOUNDS.compute_bound(rate, burst)
+                limit = compute_limit(rate, burst, bound, 5.0, 20.0, 88)
+                span = 5.0 + limit.lifetime
+                granted = limit.rate * span + limit.depth + limit.credits
+                self.assertLessEqual(granted, bound + 1e-6)
+
+    def test_credits_of_all_leaderships_add_up_to_one(self):
+        total = sum(compute_credit_share(n) for n in range(60))
+        self.assertLessEqual(total, 1.0)
+
+
+class BucketTest(unittest.TestCase):
+    def test_credit_is_granted_before_any_instance_is_heard(self):
+        """Small workspaces were refused for seconds after a change of leader."""
+        bucket = AllowanceBucket(0.0, 2.5)
+        bucket.fill(0.0, 0.0, 0.0, 10.0)
+        self.assertEqual(bucket.take(5), 2)
+        self.assertEqual(bucket.take(5), 0)
+
+    def test_returned_credit_is_not_granted_twice_or_lost(self):
+        bucket = AllowanceBucket(0.0, 2.0)
+        bucket.fill(0.0, 0.0, 5.0, 10.0)
+        self.assertEqual(bucket.take(2), 2)
+        self.assertEqual(bucket.give_back(find_slot(0.0), 2), 2)
+        self.assertEqual(bucket.give_back(find_slot(0.0), 2), 0)
+        self.assertEqual(bucket.take(5), 2)
+
+    def test_tokens_can_be_returned_until_their_life_ends(self):
+        """Tokens that were returned after 2 s were lost to the workspace."""
+        bucket = AllowanceBucket(0.0, 0.0)
+        bucket.fill(0.0, 3.0, 3.0, 12.0)
+        bucket.take(3)
+        bucket.fill(11.9, 0.0, 3.0, 12.0)
+        self.assertEqual(bucket.give_back(find_slot(0.0), 3), 3)
+        self.assertEqual(bucket.take(3), 3)
+
+
+class LedgerTest(unittest.TestCase):
+    def grant(self, instance: str, idle: float, now: float, returned: int = 0) -> int:
+        demand = TokenDemand(instance, 1, 0, 0.0, idle, returned)
+        return self.ledger.grant(demand, now, 0.5, 3.0)[0]
+
+    def setUp(self) -> None:
+        self.ledger = AllowanceLedger(AllowanceBucket(0.0, 10.0), 0.0)
+
+    def test_instances_that_served_last_keep_their_stock(self):
+        for index in range(4):
+            self.grant(f"i-{index}", 4.0 - index, 0.0)
+        self.assertEqual(self.grant("i-0", 5.0, 1.0, returned=1), 0)
+        self.assertEqual(self.grant("i-3", 2.0, 1.0, returned=1), 1)
+
+    def test_stock_leaves_a_token_for_operations_that_wait(self):
+        self.ledger = AllowanceLedger(AllowanceBucket(0.0, 1.9), 0.0)
+        self.assertEqual(self.grant("i-0", 0.0, 0.0), 0)
+        urgent = TokenDemand("i-1", 1, 1, 0.0, 0.0)
+        self.assertEqual(self.ledger.grant(urgent, 0.0, 0.5, 3.0)[0], 1)
+
+    def test_random_arrivals_above_the_rate_cause_no_long_wait(self):
+        """A wait of 16 s was told with tokens in the bucket."""
+        self.ledger = AllowanceLedger(AllowanceBucket(0.0, 0.2), 0.0)
+        self.ledger.grant(TokenDemand("i-0", 1, 1, 3.0, 0.0), 0.0, 1.9, 3.0)
+        _, wait = self.ledger.grant(TokenDemand("i-1", 1, 1, 0.01, 0.0), 0.0, 1.9, 3.0)
+        self.assertLess(wait, 1.0)
+
+
+class StockTest(unittest.TestCase):
+    def test_one_token_is_kept_for_rare_operations(self):
+        stock = AllowanceStock()
+        stock.demand.record(0.0)
+        self.assertEqual(stock.compute_wanted(15.0, 0, 0.3), 1)
+        self.assertEqual(stock.compute_wanted(1000.0, 0, 0.3), 0)
+
+    def test_expiring_tokens_are_returned_but_for_reserved_ones(self):
+        stock = AllowanceStock()
+        stock.add(Batch(3, 10.0, 1, 7))
+        self.assertTrue(stock.reserve(9.5))
+        self.assertEqual(stock.take_unused(5.0, 1, 10.0), [])
+        (returned,) = stock.take_unused(9.5, 1, 10.0)
+        self.assertEqual((returned.count, returned.slot), (2, 7))
+        self.assertEqual(stock.count(9.5), 1)
+        self.assertTrue(math.isfinite(stock.spend(9.5)))
+
+    def test_tokens_of_an_earlier_leader_are_kept(self):
+        stock = AllowanceStock()
+        stock.add(Batch(1, 10.0, 1, 7))
+        self.assertEqual(stock.take_unused(9.5, 2, 10.0), [])
+        self.assertEqual(stock.count(9.5), 1)
