--- a/src/burdocksail/traffic/_allowances.py
+++ b/src/burdocksail/traffic/_allowances.py
@@ -12,7 +12,7 @@
 # Seconds from the grant of a token until it can no longer be used. A long life saves
 # messages, and takes from the depth of the bucket what is filled in meanwhile.
 MIN_LIFETIME = 1.0
-MAX_LIFETIME = 15.0
+MAX_LIFETIME = 2.0  # seconds
 # The depth that is left is at least this share of the rate, and of what the bound
 # allows beyond the rate.
 DEPTH_PER_RATE = 0.4  # seconds
