--- a/src/burdocksail/authority/_speeds.py
+++ b/src/burdocksail/authority/_speeds.py
@@ -12,8 +12,8 @@
 MAX_SPEEDS = 8  # in a message, of some 50 bytes each
 # Servers that are about like their peers need no mention, unless others say that one
 # is not. Smaller differences come from queues, and all would follow them at once.
-MIN_LOG_RATIO = 0.8
-MIN_WEIGHT = 0.2  # answers
+MIN_LOG_RATIO = 1.1  # three times as slow or fast
+MIN_WEIGHT = 1.0  # answers; fewer are mostly chance at little load
 # The latest answers say more of a server that may have recovered than those before.
 FRESHNESS_HALF_LIFE = 2.0  # seconds
 # One instance alone may have a slow link, so it takes two, and none counts for more
--- a/src/burdocksail/traffic/_allowance_stock.py
+++ b/src/burdocksail/traffic/_allowance_stock.py
@@ -33,7 +33,7 @@
 MAX_RETRY_SPREAD = 2.0  # seconds over which rejected operations are spread
 # Operations that an instance may run before it has asked for their tokens, so that
 # rare ones neither wait for the leader nor need a token in stock.
-CREDIT = 2
+CREDIT = 1
 CREDIT_TIME = 0.5  # seconds until such an operation has to be sent
 # Operations per second from which tokens are kept in stock.
 STOCK_RATE = 0.75
