--- a/src/burdocksail/fakes/quota_world_test.py
+++ b/src/burdocksail/fakes/quota_world_test.py
@@ -32,6 +32,7 @@
             self.kill,
             self.kill_leader,
             self.restart,
+            self.restart_all,
             self.freeze,
             self.freeze_leader,
             self.appoint,
@@ -68,6 +69,13 @@
     def restart(self) -> None:
         self.world.start_instance(self.random.randrange(len(self.world.registered)))
 
+    def restart_all(self) -> None:
+        """Restart all instances; none of them knows of earlier leaders."""
+        self.world.network.frozen.clear()
+        for index in range(len(self.world.registered)):
+            self.world.start_instance(index)
+        self._call_later(self.random.uniform(0.3, 2.5), self.appoint)
+
     def freeze(self) -> None:
         self._freeze(self._pick())
 
