--- a/src/burdocksail/serving/_allowances.py
+++ b/src/burdocksail/serving/_allowances.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass, field, replace
 
 from burdocksail.board import Blackboard, Member
-from burdocksail.catalog import Workspace
+from burdocksail.catalog import Catalog, Workspace
 from burdocksail.core import FailureKind, get_logger
 from burdocksail.fleet import (
     Address,
@@ -180,6 +180,7 @@
         self._requests = AllowanceRequests(board.member.incarnation)
         self._limits: dict[str, AllowanceLimit] = {}
         self._limits_key: tuple = ()
+        self._catalog: Catalog | None = None
         self._flush_scheduled = False
         self._next_request_at = float("-inf")
         self._next_renewal_at = float("-inf")
@@ -221,6 +222,7 @@
         CommandFailed
             If there is no token; the operation has not run.
         """
+        self._apply_catalog()
         workspace = self._find_workspace(workspace_name)
         if workspace is None:
             return None
@@ -240,6 +242,7 @@
 
     def spend(self, holding: _Holding) -> float | None:
         """Spend a token that an operation has reserved; see `Reservation.spend`."""
+        self._apply_catalog()
         self._fill_floor(holding)
         usable_until = holding.stock.spend(self._board.now())
         outcome = "expired" if usable_until is None else "spent"
@@ -312,11 +315,20 @@
         if holding is None:
             holding = _Holding(workspace, self._board.now())
             self._holdings[workspace.name] = holding
-        elif holding.workspace != workspace:
-            holding.workspace = workspace
-            holding.stock.clear()
         return holding
 
+    def _apply_catalog(self) -> None:
+        """Drop the tokens of workspaces whose limit has changed."""
+        catalog = self._board.catalog.catalog
+        if catalog is self._catalog:
+            return
+        self._catalog = catalog
+        for name, holding in self._holdings.items():
+            workspace = self._find_workspace(name)
+            if workspace != holding.workspace:
+                holding.workspace = workspace or holding.workspace
+                holding.stock.clear()
+
     def _find_limit(self, workspace: Workspace) -> AllowanceLimit:
         quotas = self._board.quotas
         instances = max(1, quotas.registered_count)
@@ -588,6 +600,7 @@
         return self._requests.open(demands, authority.epoch, address, now, rides)
 
     def _drop_expired(self) -> None:
+        self._apply_catalog()
         now = self._board.now()
         epoch = self._board.authority.epoch
         for sent in self._requests.expire(now, epoch, MAX_LIFETIME):
