--- a/src/burdocksail/fakes/quota_messages_test.py
+++ b/src/burdocksail/fakes/quota_messages_test.py
@@ -50,7 +50,14 @@
             return world.random.choice(instances)
         index = int(name.rpartition("-")[2]) * INSTANCES_PER_WORKSPACE
         index += world.random.randrange(INSTANCES_PER_WORKSPACE)
-        return instances[index % len(instances)]
+        # The callers of an instance that is lost move to the next one.
+        by_index = {i.index: i for i in instances}
+        count = len(world.registered)
+        return next(
+            by_index[(index + step) % count]
+            for step in range(count)
+            if (index + step) % count in by_index
+        )
 
 
 class OverloadedHost:
