--- a/src/burdocksail/traffic/_allowances.py
+++ b/src/burdocksail/traffic/_allowances.py
@@ -404,13 +404,15 @@
         """Return how many tokens an instance may get besides the urgent ones.
 
         Those that it has just returned, or its part of what the bucket can spare, if
-        it is one of the last that served the workspace.
+        it is one of the last that served the workspace. The credit is left to
+        operations that wait.
         """
         stock = max(0, demand.wanted - demand.urgent)
         if not stock or self.shares.count_later(demand.instance, now) >= depth - 1:
             return 0
         reserve = 1.0 + STOCK_RESERVE_SECONDS * rate
-        spare = int(self.bucket.level - reserve) - demand.urgent
+        level = self.bucket.level - self.bucket.credit
+        spare = int(level - reserve) - demand.urgent
         part = math.ceil(spare / self.shares.count_recent())
         return min(stock, max(demand.returned, part, 0))
 
