--- a/src/burdocksail/serving/_allowances.py
+++ b/src/burdocksail/serving/_allowances.py
@@ -76,7 +76,7 @@
     def is_unused(self) -> bool:
         """Return whether nothing would be lost by dropping this state."""
         stock = self.stock
-        return not (self.waiters or stock.reserved or stock.asked or stock.debt)
+        return not (self.waiters or stock.reserved or stock.asked)
 
 
 class Reservation:
@@ -411,11 +411,10 @@
                 stock.release()
             else:
                 waiter.set_result(True)
-        if wait > 0.0:
-            stock.record_refusal(now, wait, holding.workspace.rate)
         if not holding.waiters:
             return
         self._next_request_at = now + REFUSED_INTERVAL
+        stock.record_refusal(now, wait, holding.workspace.rate)
         if wait <= MAX_GRANT_WAIT:
             return
         for waiter in holding.waiters:
--- a/src/burdocksail/traffic/_allowance_stock.py
+++ b/src/burdocksail/traffic/_allowance_stock.py
@@ -31,12 +31,6 @@
 # 60 s, and shares its part of the rate among the others from then on.
 FLOOR_LIFETIME = 50.0
 MAX_RETRY_SPREAD = 2.0  # seconds over which rejected operations are spread
-# Operations that an instance may run before it has asked for their tokens, so that
-# rare ones neither wait for the leader nor need a token in stock.
-CREDIT = 1
-CREDIT_TIME = 0.5  # seconds until such an operation has to be sent
-# Operations per second from which tokens are kept in stock.
-STOCK_RATE = 0.75
 
 
 @dataclass(slots=True)
@@ -85,8 +79,6 @@
         age = max(MIN_AVERAGE, now - self._began_at)
         long_rate = self._long / (1.0 - math.exp(-age / LONG_AVERAGE))
         rate = max(long_rate, self._short - PEAK_ARRIVALS / SHORT_AVERAGE)
-        if rate < STOCK_RATE:
-            return 0
         expected = rate * seconds
         deviation = STOCK_DEVIATIONS * math.sqrt(expected)
         return max(1, math.ceil(expected + deviation))
@@ -182,9 +174,6 @@
         instance.
     asked : int
         Tokens that have been asked for, without an answer yet.
-    debt : int
-        Operations that have been sent on credit, and for which the tokens that come
-        next are used up.
     retry_at : float
         Clock reading up to which rejected operations were told to come back.
     retry_interval : float
@@ -196,7 +185,6 @@
     demand: DemandEstimate = field(default_factory=DemandEstimate)
     reserved: int = 0
     asked: int = 0
-    debt: int = 0
     exhausted_until: float = -math.inf
     retry_at: float = -math.inf
     retry_interval: float = 0.0
@@ -210,25 +198,18 @@
         return sum(batch.count for batch in self.batches) + int(self.floor.level)
 
     def reserve(self, now: float) -> bool:
-        """Reserve a token, or credit; return whether there was any."""
-        if self.count(now) + self.compute_credit(now) <= self.reserved:
+        """Reserve a token; return whether there was one."""
+        if self.count(now) <= self.reserved:
             return False
         self.reserved += 1
         return True
 
-    def compute_credit(self, now: float) -> int:
-        """Return how many operations may still be sent on credit.
-
-        None while the leader has too few tokens.
-        """
-        return 0 if now < self.exhausted_until else max(0, CREDIT - self.debt)
-
     def release(self) -> None:
         """Give up a reservation."""
         self.reserved -= 1
 
     def spend(self, now: float) -> float | None:
-        """Spend a reserved token, or credit; None if there is none any more.
+        """Spend a reserved token; None if there is none any more.
 
         Returns
         -------
@@ -237,10 +218,7 @@
         """
         self.reserved -= 1
         if self.count(now) < 1:
-            if not self.compute_credit(now):
-                return None
-            self.debt += 1
-            return now + CREDIT_TIME
+            return None
         if self.batches:
             self.batches[0].count -= 1
             return self.batches[0].usable_until
@@ -248,13 +226,7 @@
         return now
 
     def add(self, batch: Batch) -> None:
-        """Add the tokens of a grant, in the order in which they expire.
-
-        Debt is paid with them first.
-        """
-        paid = min(self.debt, batch.count)
-        self.debt -= paid
-        batch.count -= paid
+        """Add the tokens of a grant, in the order in which they expire."""
         if batch.count > 0:
             self.batches.append(batch)
             self.batches = deque(sorted(self.batches, key=lambda b: b.usable_until))
@@ -291,8 +263,7 @@
         waiting : int
             Operations that wait for a token.
         """
-        needed = waiting + self.reserved + self.debt
-        return needed - self.count(now) - self.asked
+        return waiting + self.reserved - self.count(now) - self.asked
 
     def compute_wanted(self, now: float, waiting: int, seconds: float) -> int:
         """Return how many tokens to ask for, 0 if there are enough.
--- a/src/burdocksail/traffic/_allowances.py
+++ b/src/burdocksail/traffic/_allowances.py
@@ -12,10 +12,7 @@
 # Seconds from the grant of a token until it can no longer be used. A long life saves
 # messages, and takes from the depth of the bucket what is filled in meanwhile.
 MIN_LIFETIME = 1.0
-# The rest of the depth is left for operations that run on credit before the leader
-# knows of them.
-GRANTED_SHARE = 0.6
-MAX_LIFETIME = 2.0  # seconds
+MAX_LIFETIME = 15.0
 # The depth that is left is at least this share of the rate, and of what the bound
 # allows beyond the rate.
 DEPTH_PER_RATE = 0.4  # seconds
@@ -131,7 +128,7 @@
     has_floor = instances * unfilled <= spare - credits
     return AllowanceLimit(
         rate=filled,
-        depth=max(1.0, GRANTED_SHARE * min(burst + slack, spare - credits)),
+        depth=min(max(burst + slack, 1.0), spare - credits),
         floor_rate=floor_rate if has_floor else 0.0,
         floor_depth=max(1.0, floor_rate) if has_floor else 0.0,
         credits=credits,
