--- a/src/burdocksail/authority/_allowances.py
+++ b/src/burdocksail/authority/_allowances.py
@@ -94,14 +94,23 @@
     ----------
     are_earlier_ended : callable
         Returns whether all earlier leaders are known to have stopped.
+    are_instances_known : callable
+        Returns whether every instance in a listing of the store is known here. Until
+        then at least as many are counted as the former leader has told.
     """
 
     def __init__(
-        self, board: Blackboard, epoch: int, are_earlier_ended: Callable[[], bool]
+        self,
+        board: Blackboard,
+        epoch: int,
+        are_earlier_ended: Callable[[], bool],
+        are_instances_known: Callable[[], bool] = lambda: True,
     ):
         self._board = board
         self._epoch = epoch
         self._are_earlier_ended = are_earlier_ended
+        self._are_instances_known = are_instances_known
+        self._told_count = board.quotas.registered_count
         self._hearings: dict[Address, Hearing] = {}
         self._ledgers: dict[str, AllowanceLedger] = {}
         self._limits: dict[str, AllowanceLimit] = {}
@@ -329,8 +338,11 @@
             self._hears(member, now, are_earlier_ended)
             for member in registered.values()
         )
-        if len(registered) != self._instances:
-            self._instances = len(registered)
+        count = len(registered)
+        if not self._are_instances_known():
+            count = max(count, self._told_count)
+        if count != self._instances:
+            self._instances = count
             self._limits.clear()
         self._heard = heard
         self._heard_time.advance(now, heard / self._instances)
--- a/src/burdocksail/authority/_leadership.py
+++ b/src/burdocksail/authority/_leadership.py
@@ -139,7 +139,10 @@
         )
         self.grantees.settle(board.now())
         self.allowances = AllowanceIssuer(
-            board, self.epoch, lambda: self.grantees.are_earlier_stopped(board.now())
+            board,
+            self.epoch,
+            lambda: self.grantees.are_earlier_stopped(board.now()),
+            lambda: self.grantees.instances_known,
         )
         # Holds more than one set while a write of the record is unconfirmed; a
         # majority of each is needed.
