--- a/src/burdocksail/traffic/_allowance_stock.py
+++ b/src/burdocksail/traffic/_allowance_stock.py
@@ -30,6 +30,9 @@
 # Seconds without an answer until a floor ends. A leader removes a silent instance after
 # 60 s, and shares its part of the rate among the others from then on.
 FLOOR_LIFETIME = 50.0
+# Operations per second from which tokens are kept in stock. Where callers of a small
+# workspace come to most instances, stocks would hold all of its tokens.
+STOCK_RATE = 0.75
 MAX_RETRY_SPREAD = 2.0  # seconds over which rejected operations are spread
 
 
@@ -79,6 +82,8 @@
         age = max(MIN_AVERAGE, now - self._began_at)
         long_rate = self._long / (1.0 - math.exp(-age / LONG_AVERAGE))
         rate = max(long_rate, self._short - PEAK_ARRIVALS / SHORT_AVERAGE)
+        if rate < STOCK_RATE:
+            return 0
         expected = rate * seconds
         deviation = STOCK_DEVIATIONS * math.sqrt(expected)
         return max(1, math.ceil(expected + deviation))
--- a/src/burdocksail/traffic/_allowances.py
+++ b/src/burdocksail/traffic/_allowances.py
@@ -12,7 +12,7 @@
 # Seconds from the grant of a token until it can no longer be used. A long life saves
 # messages, and takes from the depth of the bucket what is filled in meanwhile.
 MIN_LIFETIME = 1.0
-MAX_LIFETIME = 15.0
+MAX_LIFETIME = 1.5
 # The depth that is left is at least this share of the rate, and of what the bound
 # allows beyond the rate.
 DEPTH_PER_RATE = 0.4  # seconds
@@ -22,7 +22,7 @@
 MIN_DEPTH_SECONDS = 0.2
 # Tokens with which all leaders in one window may begin together: they let the first
 # operations of small workspaces through, which would wait for seconds otherwise.
-CREDIT_SHARE = 0.5  # of what the bound allows beyond the rate
+CREDIT_SHARE = 0.2  # of what the bound allows beyond the rate
 MAX_CREDITS = 12.0
 # Tokens are scarce if there are fewer than are filled in during this time.
 SCARCE_SECONDS = 0.2
@@ -122,8 +122,8 @@
     """
     lifetime = compute_lifetime(rate, bound, window)
     span = window + lifetime
-    reserved = min(bound, 1.0 + MIN_DEPTH_SECONDS * rate)
-    filled = min(rate, (bound - reserved) / span)
+    reserved = max(1.0 + MIN_DEPTH_SECONDS * rate, DEPTH_SHARE * (bound - rate * span))
+    filled = max(0.0, bound - min(bound, reserved)) / span
     spare = bound - filled * span
     floor_rate = filled / instances
     credits = min(CREDIT_SHARE * spare, MAX_CREDITS)
