Compare the restart of workspaces over eight seeds instead of one

Seed 0 is the same in each run on a machine, but differs between processor kinds in the last digit of logarithms, so one request more or less decided. The bounds are unchanged.

The module's docstring said that figures are the same on every machine; it says now what is.

--- a/src/burdocksail/traffic/replays_test.py
+++ b/src/burdocksail/traffic/replays_test.py
@@ -1,7 +1,8 @@
 """Replays of load patterns, each with one decision in place and in a naive form.
 
 The naive form is switched in by the test only. All seeds are fixed and time is
-virtual, so the figures are the same on every machine.
+virtual, so the figures are the same in every run on a machine. Mathematical functions
+differ in the last digit between kinds of processors, which changes single requests.
 """
 
 import random
@@ -35,6 +36,9 @@
 SLOW_PROMOTION = 0.6  # seconds
 # Each replay of a hot workspace takes seconds.
 HOT_SEEDS = range(1)
+# One run rejects 0 to 6 requests; with one seed the figures of x86-64 and arm64 differ
+# by more than the decision changes.
+RESTART_SEEDS = range(8)
 SLOW = 0.3  # seconds; an order of magnitude above an undisturbed read
 
 
@@ -113,11 +117,11 @@
 
     def test_callers_of_workspaces_are_served_after_a_restart_of_all(self):
         """Their attempts would end before the servers drop the lost connections."""
-        decided = replay("workspace-restart", HOT_SEEDS)
+        decided = replay("workspace-restart", RESTART_SEEDS)
         naive = replay_naively(
             "workspace-restart",
             [mock.patch.object(_requests, "STALLS", frozenset())],
-            HOT_SEEDS,
+            RESTART_SEEDS,
         )
         self.assertLess(decided.total.rejected, 0.002)
         self.assertGreater(naive.total.rejected, 2 * decided.total.rejected)
