Let monitors watch the store for all, and shorten the lives of quota tokens

A count of bytes and calls in a scratch copy: 25 of 40 MB from the store are watches of the configuration (23 kB, 88 instances, some ten versions), 2,100 of 3,600 calls are watches.

Tokens lived up to 1.5 s, which the bound counts twice: the bucket of the workspace with 212 operations/s had a depth of 35 where its burst is 212. With 0.85 s the whole burst can be granted. Random worlds keep to the bound.

--- a/src/burdocksail/authority/_allowances.py
+++ b/src/burdocksail/authority/_allowances.py
@@ -19,6 +19,7 @@
 )
 from burdocksail.traffic import (
     FLOOR_DELAY,
+    TOKEN_LIFETIME,
     AllowanceBucket,
     AllowanceLedger,
     AllowanceLimit,
@@ -170,7 +171,6 @@
         answer = Allowances(
             demands.number,
             find_slot(now),
-            0 if self._catalog is None else self._catalog.version,
             tuple(self._allow(member.name, d, now) for d in demands.demands),
         )
         answered.record(demands.number, answer)
@@ -218,7 +218,7 @@
 
     def _compute_credit(self, limit: AllowanceLimit) -> float:
         """Return the tokens with which this leadership begins."""
-        span = self._board.quotas.bounds.window + limit.lifetime + CREDIT_TIME
+        span = self._board.quotas.bounds.window + TOKEN_LIFETIME + CREDIT_TIME
         earlier = count_leaderships(self._earlier, self._began_at - span)
         return limit.credits * compute_credit_share(earlier)
 
--- a/src/burdocksail/authority/_follower.py
+++ b/src/burdocksail/authority/_follower.py
@@ -142,6 +142,10 @@
         now = board.now()
         authority.last_grant_at = now
         authority.is_monitor = grant.monitor
+        if grant.extends_evidence and grant.store_works:
+            authority.relayed_at = board.now()
+        if grant.source is not None:
+            self._snapshots.fetch_soon(grant.source.address)
         board.members.alive_count = max(1, grant.alive)
         board.members.registered_count = grant.registered
         store_shared_speeds(board, grant.speeds)
--- a/src/burdocksail/authority/_leadership.py
+++ b/src/burdocksail/authority/_leadership.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import random
 from dataclasses import replace
 
 from burdocksail.authority._allowances import AllowanceIssuer
@@ -162,6 +163,7 @@
         self._confirmed_at = asked_at
         self._takeover_requested_at = float("-inf")
         self._monitors: frozenset[Address] = frozenset()
+        self._random = random.Random(board.member.incarnation)
         self._log = get_logger().bind(epoch=self.epoch)
         for service, group in record.groups.items():
             state = GroupState.CLOSED if group.changing else GroupState.OPEN
@@ -245,10 +247,42 @@
                 grant,
                 groups=None if is_current else grant.groups,
                 monitor=self._is_monitor(renewal.member.address),
+                source=self._choose_source(renewal),
                 allowances=self._answer_demands(renewal),
             ),
         )
 
+    def _choose_source(self, renewal: Renew) -> Member | None:
+        """Return an instance to fetch newer objects of the store from.
+
+        One of the sender's failure domain, as objects are large. None if the sender
+        is up to date, watches the store itself, or no such instance is known.
+        """
+        board = self._board
+        if self._is_monitor(renewal.member.address):
+            return None
+        catalog = board.catalog.catalog
+        timeline = board.latest_timeline
+        version = 0 if catalog is None else catalog.version
+        revision = board.directory.version_in(timeline).revision
+
+        def is_current(reported: Renew) -> bool:
+            return (
+                reported.catalog_version >= version
+                and reported.directory_revision >= revision
+                and reported.store_timeline == timeline
+            )
+
+        if is_current(renewal):
+            return None
+        domain = renewal.member.failure_domain
+        sources = [
+            g.member
+            for g in self.grantees.find_live(board.now())
+            if g.member.failure_domain == domain and is_current(g.renewal)
+        ]
+        return self._random.choice(sources) if sources else None
+
     def _answer_demands(self, renewal: Renew) -> Allowances | None:
         demands = renewal.allowances
         if demands is None or self.ended:
@@ -465,7 +499,10 @@
         if not candidates:
             return
         self._takeover_requested_at = now
-        chosen = min(candidates, key=lambda member: member.name)
+        # Of the others it is not known whether the store still answers them.
+        chosen = min(
+            candidates, key=lambda m: (m.address not in self._monitors, m.name)
+        )
         self._log.info("takeover requested", reason=reason, by=chosen.name)
         self._peers.send(chosen.address, TakeOver(self._board.member, self.epoch))
 
--- a/src/burdocksail/board/_authority.py
+++ b/src/burdocksail/board/_authority.py
@@ -87,6 +87,10 @@
         Whether the leader has chosen this instance to watch the fleet's objects
         and to probe the primaries. In a fleet of up to `MAX_MONITORS` + 1 instances
         every one does so.
+    relayed_at : float
+        Clock reading at which a leader last extended the lease of this instance and
+        said that the store answers it. It also reports changes in the store, so that
+        an instance that is not a monitor need not watch them.
     """
 
     epoch: int = 0
@@ -102,6 +106,7 @@
     suspected: set[str] = field(default_factory=set)
     in_flight: dict[str, int] = field(default_factory=dict)
     is_monitor: bool = False
+    relayed_at: float = float("-inf")
 
     def primaries(self) -> set[str]:
         """Return the upstream ids of all primaries."""
--- a/src/burdocksail/fakes/quota_world_test.py
+++ b/src/burdocksail/fakes/quota_world_test.py
@@ -14,7 +14,7 @@
     run_in_virtual_time,
     silence_logs,
 )
-from burdocksail.traffic import MAX_LIFETIME
+from burdocksail.traffic import TOKEN_LIFETIME
 
 DURATION = 25.0
 
@@ -103,13 +103,13 @@
     def find_bound(self, name: str, start: float, end: float) -> float:
         """Return the bound of a window under the limits that held in it.
 
-        Tokens of a former limit are used for up to `MAX_LIFETIME`.
+        Tokens of a former limit are used for up to `TOKEN_LIFETIME`.
         """
         ends = [at for at, _ in self.limits[1:]] + [float("inf")]
         return max(
             BOUNDS.compute_bound(limits[name].rate, limits[name].burst)
             for (at, limits), until in zip(self.limits, ends, strict=True)
-            if at <= end and until + MAX_LIFETIME >= start
+            if at <= end and until + TOKEN_LIFETIME >= start
         )
 
     def _pick(self) -> QuotaInstance:
--- a/src/burdocksail/fleet/_codec.py
+++ b/src/burdocksail/fleet/_codec.py
@@ -69,7 +69,7 @@
         message = _envelopes.decode(payload)
     except StructError as error:
         raise MessageError(str(error)) from error
-    for role in ("member", "leader"):
+    for role in ("member", "leader", "source"):
         member = getattr(message, role, None)
         if member is not None and not is_addressable(member):
             raise MessageError(f"the {role} has no usable address or name")
--- a/src/burdocksail/fleet/_messages.py
+++ b/src/burdocksail/fleet/_messages.py
@@ -96,13 +96,10 @@
     ----------
     slot : int
         When the tokens were granted, by a count of the leader.
-    catalog_version : int
-        Version of the configuration under which they were granted.
     """
 
     number: int
     slot: int
-    catalog_version: int
     allowances: tuple[Allowance, ...]
 
 
@@ -190,6 +187,8 @@
         What several instances have learned together.
     allowances : Allowances or None
         Answer to the demands in the renewal.
+    source : Member or None
+        Instance from which to fetch objects of the store that the receiver lacks.
     """
 
     leader: Member
@@ -209,6 +208,7 @@
     leader_time: float | None = None
     speeds: tuple[ServerSpeed, ...] = ()
     allowances: Allowances | None = None
+    source: Member | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/burdocksail/fleet/_snapshots.py
+++ b/src/burdocksail/fleet/_snapshots.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import contextlib
 import random
 from dataclasses import dataclass
 
@@ -45,6 +46,8 @@
         self._peers = peers
         self._tracker = tracker
         self._peers_ahead: dict[Address, _PeerVersions] = {}
+        self._source: Address | None = None
+        self._source_named = asyncio.Event()
         self._random = random.Random(board.member.incarnation)
         self._log = get_logger()
 
@@ -78,10 +81,22 @@
         else:
             self._peers_ahead.pop(address, None)
 
+    def fetch_soon(self, address: Address) -> None:
+        """Fetch the snapshot of an instance that the leader has named as a source."""
+        self._source = address
+        self._source_named.set()
+
     async def catch_up(self) -> None:
-        """Fetch from peers that have been ahead for `FETCH_DELAY`, until cancelled."""
+        """Fetch from sources, and from peers ahead for `FETCH_DELAY`; do not return."""
         while True:
-            await asyncio.sleep(FETCH_INTERVAL)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(FETCH_INTERVAL):
+                    await self._source_named.wait()
+            self._source_named.clear()
+            if self._source is not None:
+                address, self._source = self._source, None
+                await self._fetch(address)
+                continue
             limit = self._board.now() - FETCH_DELAY
             self._peers_ahead = {
                 a: s for a, s in self._peers_ahead.items() if self._is_ahead(s)
--- a/src/burdocksail/fleet/_structures.py
+++ b/src/burdocksail/fleet/_structures.py
@@ -238,13 +238,11 @@
     thrift_spec = {
         1: (10, "number", False),
         2: (10, "slot", False),
-        3: (10, "catalog_version", False),
-        4: (15, "allowances", (12, Allowance), False),
+        3: (15, "allowances", (12, Allowance), False),
     }
     default_spec = [
         ("number", None),
         ("slot", None),
-        ("catalog_version", None),
         ("allowances", None),
     ]
 
@@ -252,12 +250,10 @@
         self,
         number=None,
         slot=None,
-        catalog_version=None,
         allowances=None,
     ):
         self.number = number
         self.slot = slot
-        self.catalog_version = catalog_version
         self.allowances = allowances
 
 
@@ -358,6 +354,7 @@
         14: (10, "store_timeline", False),
         15: (4, "leader_time", False),
         16: (12, "allowances", Allowances, False),
+        17: (12, "source", Member, False),
         20: (15, "speeds", (12, ServerSpeed), False),
     }
     default_spec = [
@@ -377,6 +374,7 @@
         ("store_timeline", 0),
         ("leader_time", None),
         ("allowances", None),
+        ("source", None),
         ("speeds", []),
     ]
 
@@ -398,6 +396,7 @@
         store_timeline=0,
         leader_time=None,
         allowances=None,
+        source=None,
         speeds=None,
     ):
         self.leader = leader
@@ -416,6 +415,7 @@
         self.store_timeline = store_timeline
         self.leader_time = leader_time
         self.allowances = allowances
+        self.source = source
         self.speeds = [] if speeds is None else speeds
 
 
--- a/src/burdocksail/fleet/_tracking.py
+++ b/src/burdocksail/fleet/_tracking.py
@@ -43,6 +43,12 @@
 # each watch is a billed call.
 FLEET_WATCH_PAUSE = 0.3  # seconds between watches of the fleet's objects
 RETRY_DELAYS = (0.1, 0.2, 0.4, 0.8)  # seconds; up to as much random jitter is added
+# What every instance needs. Each change costs a call and the size of the object for
+# each instance that watches; the configuration of 86 workspaces is 23 kB.
+RELAYED_KINDS = (ObjectKind.CATALOG, ObjectKind.UPSTREAMS)
+# Seconds without a lease from a leader that hears the store, until an instance watches
+# the store itself: two renewals lost in a row.
+RELAY_TIMEOUT = 1.0
 # An instance that does not watch the fleet's objects lists them while it has no lease.
 FLEET_LIST_INTERVAL = 1.5  # seconds; up to as much random jitter is added
 MISSING_GRACE = 2.5  # seconds; a live server's entry is back within about two
@@ -85,6 +91,10 @@
     started_at: float
 
 
+class _WatchStoppedError(Exception):
+    """A watch was stopped because peers tell what changes."""
+
+
 class StoreTracker:
     """Updates the blackboard with the configuration, upstreams and instances.
 
@@ -119,18 +129,25 @@
         self._removed: dict[str, RemovedInstance] = {}
         self._peer_timeline = 0
         self._watches: dict[ObjectKind, _RunningWatch] = {}
+        self._started_at = board.now()
         self._log = get_logger()
 
     async def watch_catalog(self) -> None:
-        """Watch the configuration, until cancelled."""
-        await self._list_and_watch(
-            ObjectKind.CATALOG, self._apply_catalog_list, self._apply_catalog
+        """Keep track of the configuration, until cancelled."""
+        await self._list_and_follow(
+            ObjectKind.CATALOG,
+            self._apply_catalog_list,
+            self._apply_catalog,
+            self._find_catalog_version,
         )
 
     async def watch_upstreams(self) -> None:
-        """Watch the entries of upstreams, until cancelled."""
-        await self._list_and_watch(
-            ObjectKind.UPSTREAMS, self._apply_upstream_list, self._apply_upstream
+        """Keep track of the entries of upstreams, until cancelled."""
+        await self._list_and_follow(
+            ObjectKind.UPSTREAMS,
+            self._apply_upstream_list,
+            self._apply_upstream,
+            lambda: self._board.directory.version,
         )
 
     async def watch_fleet(self) -> None:
@@ -165,6 +182,8 @@
             if self._is_leader():
                 # Those begun before the leadership wait for longer.
                 self._restart_watches(min_age=2 * LEADER_WATCH_TIMEOUT)
+            if not self._should_watch_store():
+                self._stop_relayed_watches()
             self._drop_expired()
             self._apply_unconfirmed()
             self._drop_unlisted()
@@ -189,14 +208,42 @@
         """Apply a peer's configuration if it is newer than the one in force."""
         self._apply_catalog(stored, removed=False)
 
+    async def _list_and_follow(
+        self,
+        kind: ObjectKind,
+        apply_listing: Callable[[Listing], None],
+        apply_object: Callable[..., None],
+        find_version: Callable[[], StoreVersion],
+    ) -> None:
+        """List a kind of objects, then watch it while no leader relays its changes.
+
+        Parameters
+        ----------
+        find_version : callable
+            Returns the version up to which changes are known from peers.
+        """
+        version: StoreVersion | None = None
+        while True:
+            version = await self._list_and_watch(
+                kind,
+                apply_listing,
+                apply_object,
+                self._should_watch_store,
+                version=version,
+            )
+            while not self._should_watch_store():
+                await asyncio.sleep(POLL_INTERVAL)
+            version = max(version, find_version())
+
     async def _list_and_watch(
         self,
         kind: ObjectKind,
         apply_listing: Callable[[Listing], None],
         apply_object: Callable[..., None],
-        should_watch: Callable[[], bool] = lambda: True,
+        should_watch: Callable[[], bool],
         pause: float = 0.0,
-    ) -> None:
+        version: StoreVersion | None = None,
+    ) -> StoreVersion:
         """List a kind of objects, then watch it while `should_watch` returns true.
 
         Parameters
@@ -204,8 +251,14 @@
         pause : float
             Seconds between watches; the next watch returns all events of the pause
             at once.
+        version : StoreVersion, optional
+            Version from which to watch; by default the objects are listed first.
+
+        Returns
+        -------
+        StoreVersion
+            Version up to which changes are known.
         """
-        version: StoreVersion | None = None
         failures = 0
         while version is None or should_watch():
             try:
@@ -222,6 +275,8 @@
                     version = max(version, events.version)
                     if kind is ObjectKind.UPSTREAMS and events.events:
                         self._advance_directory(version)
+            except _WatchStoppedError:
+                pass  # Peers tell what changes from now on.
             except HistoryLost as error:
                 self._log.info(
                     "history lost",
@@ -242,6 +297,7 @@
                 await asyncio.sleep(pause)
             finally:
                 self._record_timeline()
+        return version
 
     async def _watch(self, kind: ObjectKind, version: StoreVersion) -> StoreEvents:
         """Return the changes after a version.
@@ -266,6 +322,8 @@
             del self._watches[kind]
             watch.cancel()
         if watch.cancelled():
+            if not self._should_watch(kind):
+                raise _WatchStoppedError
             raise HistoryLost("the watch was stopped")
         events = watch.result()
         self._record_timeline()
@@ -299,6 +357,15 @@
             if watch.started_at <= limit:
                 watch.answer.cancel()
 
+    def _stop_relayed_watches(self) -> None:
+        for kind in RELAYED_KINDS:
+            if kind in self._watches:
+                self._watches[kind].answer.cancel()
+
+    def _find_catalog_version(self) -> StoreVersion:
+        stored = self._board.catalog.stored
+        return StoreVersion(0, 0) if stored is None else stored.version
+
     def _is_leader(self) -> bool:
         return self._board.authority.leader == self._board.member
 
@@ -312,6 +379,23 @@
         is_small_fleet = board.members.count() <= MAX_MONITORS + 1
         return is_small_fleet or board.authority.is_monitor
 
+    def _should_watch_store(self) -> bool:
+        """Return whether this instance watches the configuration and the upstreams.
+
+        Monitors do. The others learn of changes from the leader and fetch them from
+        an instance of their failure domain. They watch while they hear no leader that
+        hears the store, and after a restoration until the store has answered them.
+        """
+        if self._should_watch_fleet():
+            return True
+        if self._peer_timeline > self._board.store.timeline:
+            return True
+        relayed_at = max(self._board.authority.relayed_at, self._started_at)
+        return self._board.now() > relayed_at + RELAY_TIMEOUT
+
+    def _should_watch(self, kind: ObjectKind) -> bool:
+        return kind not in RELAYED_KINDS or self._should_watch_store()
+
     def _is_fleet_due(self) -> bool:
         now = self._board.now()
         if self._should_watch_fleet():
--- a/src/burdocksail/fleet/fleet.thrift
+++ b/src/burdocksail/fleet/fleet.thrift
@@ -24,7 +24,7 @@
 struct AllowanceDemands { 1: i64 number, 2: list<AllowanceDemand> demands }
 struct Allowance { 1: string workspace, 2: i32 granted, 3: optional double wait }
 struct Allowances {
-  1: i64 number, 2: i64 slot, 3: i64 catalog_version, 4: list<Allowance> allowances
+  1: i64 number, 2: i64 slot, 3: list<Allowance> allowances
 }
 
 struct Renew {
@@ -41,7 +41,8 @@
   8: i64 catalog_version, 9: i64 directory_revision, 10: bool store_works,
   11: list<SharedSample> samples, 12: i64 registered, 13: bool monitor,
   14: i64 store_timeline = 0, 15: optional double leader_time,
-  16: optional Allowances allowances, 20: list<ServerSpeed> speeds = []
+  16: optional Allowances allowances, 17: optional Member source,
+  20: list<ServerSpeed> speeds = []
 }
 struct NotLeader { 1: Member member, 2: i64 epoch, 3: optional Member leader }
 struct LeaderQuery { 1: Member member, 2: i64 epoch }
--- a/src/burdocksail/serving/_allowances.py
+++ b/src/burdocksail/serving/_allowances.py
@@ -25,8 +25,7 @@
 from burdocksail.serving._replies import CommandFailed
 from burdocksail.traffic import (
     DELIVERY_MARGIN,
-    MAX_LIFETIME,
-    MIN_LIFETIME,
+    TOKEN_LIFETIME,
     AllowanceLimit,
     AllowanceStock,
     Batch,
@@ -269,8 +268,7 @@
             holding = self._holdings.get(allowance.workspace)
             limit = wanted.get(allowance.workspace, 0)
             if holding is not None and allowance.granted <= limit:
-                lifetime = self._find_lifetime(holding, allowances.catalog_version)
-                usable_until = sent.sent_at + lifetime - DELIVERY_MARGIN
+                usable_until = sent.sent_at + TOKEN_LIFETIME - DELIVERY_MARGIN
                 holding.stock.add(
                     Batch(allowance.granted, usable_until, epoch, allowances.slot)
                 )
@@ -350,17 +348,6 @@
             self._limits[workspace.name] = limit
         return limit
 
-    def _find_lifetime(self, holding: _Holding, catalog_version: int) -> float:
-        """Return the life of tokens that were granted under a configuration.
-
-        The shortest if it is not the one in force here: the leader may know another
-        rate.
-        """
-        catalog = self._board.catalog.catalog
-        if catalog is None or catalog.version != catalog_version:
-            return MIN_LIFETIME
-        return self._find_limit(holding.workspace).lifetime
-
     def _fill_floor(self, holding: _Holding) -> float | None:
         """Fill the floor of a workspace; return when floors began, None without one."""
         quotas = self._board.quotas
@@ -567,8 +554,7 @@
         if urgent_only and stock.compute_missing(now, waiting) <= 0:
             return []
         epoch = self._board.authority.epoch
-        lifetime = self._find_limit(holding.workspace).lifetime
-        unused = stock.take_unused(now, epoch, lifetime)
+        unused = stock.take_unused(now, epoch)
         wanted = 0
         if now >= stock.exhausted_until:
             # Until the next renewal, and its answer.
@@ -603,7 +589,7 @@
         self._apply_catalog()
         now = self._board.now()
         epoch = self._board.authority.epoch
-        for sent in self._requests.expire(now, epoch, MAX_LIFETIME):
+        for sent in self._requests.expire(now, epoch, TOKEN_LIFETIME):
             self._end_waiting(sent)
         for name, holding in list(self._holdings.items()):
             if holding.used_at < now - IDLE_TIMEOUT and holding.is_unused:
--- a/src/burdocksail/traffic/__init__.py
+++ b/src/burdocksail/traffic/__init__.py
@@ -13,15 +13,13 @@
     find_floor_start,
 )
 from burdocksail.traffic._allowances import (
-    MAX_LIFETIME,
-    MIN_LIFETIME,
+    TOKEN_LIFETIME,
     AllowanceBucket,
     AllowanceLedger,
     AllowanceLimit,
     HeardTime,
     TokenDemand,
     compute_credit_share,
-    compute_lifetime,
     compute_limit,
     find_slot,
 )
@@ -46,6 +44,7 @@
 from burdocksail.traffic._work import Comparison, WorkTimes
 
 __all__ = [
+    "TOKEN_LIFETIME",
     "AllowanceBucket",
     "AllowanceLedger",
     "AllowanceLimit",
@@ -71,14 +70,11 @@
     "ServerHealth",
     "ServerLoad",
     "SpeedEstimate",
-    "MAX_LIFETIME",
-    "MIN_LIFETIME",
     "DELIVERY_MARGIN",
     "WaitingRequest",
     "WorkTimes",
     "compute_backoff",
     "compute_credit_share",
-    "compute_lifetime",
     "compute_limit",
     "compute_order",
     "compute_retry_after",
--- a/src/burdocksail/traffic/_allowance_stock.py
+++ b/src/burdocksail/traffic/_allowance_stock.py
@@ -13,10 +13,9 @@
 
 # Part of a token's life that is left for the way of its operation to a server.
 DELIVERY_MARGIN = 0.1  # seconds
-# Seconds, and share of the life, before a token can no longer be used, from which it
-# is exchanged. A lost renewal, every 0.3 s, leaves time for another one.
-RETURN_BEFORE = 1.0
-RETURN_SHARE = 0.4
+# Tokens are exchanged from this time before their end: longer than from one renewal,
+# every 0.3 s, to the answer of the next.
+RETURN_BEFORE = 0.4  # seconds
 STOCK_DEVIATIONS = 2.0  # of the operations in that time, kept besides
 # Averaging times of the demand: the short one follows a peak.
 SHORT_AVERAGE = 0.5  # seconds
@@ -240,12 +239,12 @@
         """Drop all tokens, as the limit of the workspace has changed."""
         self.batches.clear()
 
-    def take_unused(self, now: float, epoch: int, lifetime: float) -> list[Batch]:
+    def take_unused(self, now: float, epoch: int) -> list[Batch]:
         """Remove the batches that are about to expire, to be returned to their leader.
 
         Operations that have reserved tokens keep them.
         """
-        limit = now + min(RETURN_BEFORE, RETURN_SHARE * lifetime)
+        limit = now + RETURN_BEFORE
         spare = self.count(now) - self.reserved
         unused = []
         for batch in list(self.batches):
--- a/src/burdocksail/traffic/_allowances.py
+++ b/src/burdocksail/traffic/_allowances.py
@@ -9,13 +9,12 @@
 from collections import deque
 from dataclasses import dataclass, field
 
-# Seconds from the grant of a token until it can no longer be used. A long life saves
-# messages, and takes from the depth of the bucket what is filled in meanwhile.
-MIN_LIFETIME = 1.0
-MAX_LIFETIME = 1.5
-# The depth that is left is at least this share of the rate, and of what the bound
-# allows beyond the rate.
-DEPTH_PER_RATE = 0.4  # seconds
+# Seconds from the grant of a token until it can no longer be used: two renewals, with
+# the way of their answers. What is filled in during a longer life would be taken from
+# the rate and the burst, as the bound counts it twice.
+TOKEN_LIFETIME = 0.85
+# Share of what the bound allows beyond rate and burst that is added to the depth. The
+# rest is added to the rate.
 DEPTH_SHARE = 0.45
 # Longest possible depth of a bucket is kept at this share of the rate at least: a
 # shallower one could not hold what several instances take at the same time.
@@ -62,8 +61,6 @@
         for each to have one within the bound.
     credits : float
         Tokens with which all leaders in one window may begin together.
-    lifetime : float
-        Seconds from the grant of a token until it can no longer be used.
     """
 
     rate: float
@@ -71,19 +68,6 @@
     floor_rate: float
     floor_depth: float
     credits: float
-    lifetime: float
-
-
-def compute_lifetime(rate: float, bound: float, window: float) -> float:
-    """Return the seconds for which tokens of a workspace live.
-
-    Leader and instances compute it alike, whatever the number of instances is.
-    """
-    if rate <= 0:
-        return MIN_LIFETIME
-    spare = bound - rate * window
-    kept = max(DEPTH_PER_RATE * rate, DEPTH_SHARE * spare)
-    return min(max((spare - kept) / rate, MIN_LIFETIME), MAX_LIFETIME)
 
 
 def compute_credit_share(leaderships: int) -> float:
@@ -120,14 +104,14 @@
     slack : float
         Operations that the bound allows beyond rate and burst.
     """
-    lifetime = compute_lifetime(rate, bound, window)
-    span = window + lifetime
-    reserved = max(1.0 + MIN_DEPTH_SECONDS * rate, DEPTH_SHARE * (bound - rate * span))
-    filled = max(0.0, bound - min(bound, reserved)) / span
+    span = window + TOKEN_LIFETIME
+    extra = max(0.0, bound - rate * span - burst)
+    reserved = max(1.0 + MIN_DEPTH_SECONDS * rate, burst + DEPTH_SHARE * extra)
+    filled = (bound - min(bound, reserved)) / span
     spare = bound - filled * span
     floor_rate = filled / instances
     credits = min(CREDIT_SHARE * spare, MAX_CREDITS)
-    unfilled = max(0.0, 1.0 - floor_rate * lifetime)
+    unfilled = max(0.0, 1.0 - floor_rate * TOKEN_LIFETIME)
     has_floor = instances * unfilled <= spare - credits
     return AllowanceLimit(
         rate=filled,
@@ -135,7 +119,6 @@
         floor_rate=floor_rate if has_floor else 0.0,
         floor_depth=max(1.0, floor_rate) if has_floor else 0.0,
         credits=credits,
-        lifetime=lifetime,
     )
 
 
@@ -178,15 +161,15 @@
         """Return the tokens that can be granted."""
         return self._level + self.credit
 
-    def fill(self, now: float, amount: float, depth: float, lifetime: float) -> None:
-        """Add `amount` tokens with a given life; hold at most `depth`."""
+    def fill(self, now: float, amount: float, depth: float) -> None:
+        """Add `amount` tokens; hold at most `depth`."""
         index = find_slot(now)
         if index != self._slots[-1].index:
             self._slots.append(_Slot(index))
         self._slots[-1].filled += amount
         self._depth = depth
         self._level = min(depth, self._level + amount)
-        oldest = index - (lifetime + RETURN_MARGIN) / SLOT
+        oldest = index - (TOKEN_LIFETIME + RETURN_MARGIN) / SLOT
         while self._slots[0].index < oldest:
             self._base = self._apply(self._base, self._slots.popleft())
 
@@ -356,7 +339,7 @@
         amount = limit.rate * (heard.value - self.heard_time)
         self.heard_time = heard.value
         depth = limit.depth * heard.share
-        self.bucket.fill(now, amount, depth, limit.lifetime)
+        self.bucket.fill(now, amount, depth)
 
     def grant(
         self, demand: TokenDemand, now: float, rate: float, depth: float
--- a/src/burdocksail/traffic/allowance_lifetimes_test.py
+++ b/src/burdocksail/traffic/allowance_lifetimes_test.py
@@ -5,15 +5,13 @@
 
 from burdocksail.board import QuotaBounds
 from burdocksail.traffic import (
-    MAX_LIFETIME,
-    MIN_LIFETIME,
+    TOKEN_LIFETIME,
     AllowanceBucket,
     AllowanceLedger,
     AllowanceStock,
     Batch,
     TokenDemand,
     compute_credit_share,
-    compute_lifetime,
     compute_limit,
     find_slot,
 )
@@ -21,11 +19,7 @@
 BOUNDS = QuotaBounds(5.0, 0.1, 20.0)
 
 
-def find_lifetime(rate: float) -> float:
-    return compute_lifetime(rate, BOUNDS.compute_bound(rate, rate), BOUNDS.window)
-
-
-class LifetimeTest(unittest.TestCase):
+class LimitTest(unittest.TestCase):
     def test_small_workspaces_are_served_above_their_rate_within_the_bound(self):
         """Random arrivals above a small rate were refused, far below the bound."""
         for rate in (0.3, 0.8, 3.0, 20.0):
@@ -35,10 +29,13 @@
         limit = compute_limit(0.8, 0.8, BOUNDS.compute_bound(0.8, 0.8), 5.0, 20.0, 88)
         self.assertGreater(limit.rate, 2 * 0.8)
 
-    def test_lives_are_between_their_limits(self):
-        self.assertAlmostEqual(find_lifetime(157.0), 1.0, delta=0.1)
-        for rate in (0.0, 0.01, 0.3, 5.0, 1e6):
-            self.assertTrue(MIN_LIFETIME <= find_lifetime(rate) <= MAX_LIFETIME)
+    def test_burst_can_be_granted_at_once_without_a_lower_rate(self):
+        """A workspace of 212 operations/s had a bucket of 35 tokens."""
+        for rate in (0.3, 3.0, 20.0, 157.0, 212.0, 5000.0):
+            bound = BOUNDS.compute_bound(rate, rate)
+            limit = compute_limit(rate, rate, bound, 5.0, 20.0, 88)
+            self.assertGreaterEqual(limit.depth + limit.credits, rate)
+            self.assertGreaterEqual(limit.rate, 0.95 * rate)
 
     def test_grants_in_a_window_and_a_life_keep_to_the_bound(self):
         """A longer life would let more tokens be used in a window than the bound."""
@@ -46,7 +43,7 @@
             for burst in (0.0, rate, 10 * rate):
                 bound = BOUNDS.compute_bound(rate, burst)
                 limit = compute_limit(rate, burst, bound, 5.0, 20.0, 88)
-                span = 5.0 + limit.lifetime
+                span = 5.0 + TOKEN_LIFETIME
                 granted = limit.rate * span + limit.depth + limit.credits
                 self.assertLessEqual(granted, bound + 1e-6)
 
@@ -59,31 +56,31 @@
     def test_credit_is_granted_before_any_instance_is_heard(self):
         """Small workspaces were refused for seconds after a change of leader."""
         bucket = AllowanceBucket(0.0, 2.5)
-        bucket.fill(0.0, 0.0, 0.0, 10.0)
+        bucket.fill(0.0, 0.0, 0.0)
         self.assertEqual(bucket.take(5), 2)
         self.assertEqual(bucket.take(5), 0)
 
     def test_returned_credit_is_not_granted_twice_or_lost(self):
         bucket = AllowanceBucket(0.0, 2.0)
-        bucket.fill(0.0, 0.0, 5.0, 10.0)
+        bucket.fill(0.0, 0.0, 5.0)
         self.assertEqual(bucket.take(2), 2)
         self.assertEqual(bucket.give_back(find_slot(0.0), 2), 2)
         self.assertEqual(bucket.give_back(find_slot(0.0), 2), 0)
         self.assertEqual(bucket.take(5), 2)
 
     def test_tokens_can_be_returned_until_their_life_ends(self):
-        """Tokens that were returned after 2 s were lost to the workspace."""
+        """Tokens that were returned late were lost to the workspace."""
         bucket = AllowanceBucket(0.0, 0.0)
-        bucket.fill(0.0, 3.0, 3.0, 12.0)
+        bucket.fill(0.0, 3.0, 3.0)
         bucket.take(3)
-        bucket.fill(11.9, 0.0, 3.0, 12.0)
+        bucket.fill(TOKEN_LIFETIME - 0.1, 0.0, 3.0)
         self.assertEqual(bucket.give_back(find_slot(0.0), 3), 3)
         self.assertEqual(bucket.take(3), 3)
 
 
 def make_ledger(level: float) -> AllowanceLedger:
     bucket = AllowanceBucket(0.0, 0.0)
-    bucket.fill(0.0, level, 10.0, 10.0)
+    bucket.fill(0.0, level, 10.0)
     return AllowanceLedger(bucket, 0.0)
 
 
@@ -135,8 +132,8 @@
         stock = AllowanceStock()
         stock.add(Batch(3, 10.0, 1, 7))
         self.assertTrue(stock.reserve(9.5))
-        self.assertEqual(stock.take_unused(5.0, 1, 10.0), [])
-        (returned,) = stock.take_unused(9.5, 1, 10.0)
+        self.assertEqual(stock.take_unused(5.0, 1), [])
+        (returned,) = stock.take_unused(9.7, 1)
         self.assertEqual((returned.count, returned.slot), (2, 7))
         self.assertEqual(stock.count(9.5), 1)
         self.assertTrue(math.isfinite(stock.spend(9.5)))
@@ -144,5 +141,5 @@
     def test_tokens_of_an_earlier_leader_are_kept(self):
         stock = AllowanceStock()
         stock.add(Batch(1, 10.0, 1, 7))
-        self.assertEqual(stock.take_unused(9.5, 2, 10.0), [])
+        self.assertEqual(stock.take_unused(9.7, 2), [])
         self.assertEqual(stock.count(9.5), 1)
