Name one instance of each failure domain as the first to fetch from another domain

A leader names one instance per domain and half second that may fetch from elsewhere; the others wait for that one. The leader is asked on an instance's own account after 2.5 s. A list that holds nothing new no longer raises the version of the entries, so that nobody fetches it; lists of the fleet's objects wait 0.4 s after the loss of a lease.

--- a/src/burdocksail/authority/_leadership.py
+++ b/src/burdocksail/authority/_leadership.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import math
 import random
 from dataclasses import replace
 
@@ -66,6 +67,9 @@
 
 CONFIRM_INTERVAL = 1.0  # seconds; several attempts fit into the leader lease
 SPEEDS_INTERVAL = 0.2  # seconds; renewals come every 0.3 s
+# Seconds between two instances of a failure domain that fetch from another domain.
+SOURCE_INTERVAL = 0.5
+MONITORS_INTERVAL = 0.1  # seconds between choices while there are too few monitors
 STORE_OUTAGE_LIMIT = 2.5  # seconds without the store until another should lead
 # Seconds of silence until an instance's object is removed.
 SILENT_INSTANCE_EXPIRY = 60.0
@@ -164,6 +168,8 @@
         self._takeover_requested_at = float("-inf")
         self._monitors: frozenset[Address] = frozenset()
         self._random = random.Random(board.member.incarnation)
+        self._source_named_at: dict[str, float] = {}
+        self._monitors_chosen_at = -math.inf
         self._log = get_logger().bind(epoch=self.epoch)
         for service, group in record.groups.items():
             state = GroupState.CLOSED if group.changing else GroupState.OPEN
@@ -231,6 +237,10 @@
         now = self._board.now()
         grantee = self.grantees.record_renewal(renewal, now)
         self.allowances.record_renewal(renewal)
+        if len(self._monitors) < MAX_MONITORS:
+            # A leader that has just begun knows no instances at first.
+            if now >= self._monitors_chosen_at + MONITORS_INTERVAL:
+                self._choose_monitors()
         is_known = renewal.member.address in self._peer_addresses()
         extends_lease = (
             self.holds_leader_lease and is_known and renewal.epoch <= self.epoch
@@ -256,8 +266,9 @@
     def _choose_source(self, renewal: Renew) -> Member | None:
         """Return an instance to fetch newer objects of the store from.
 
-        One of the sender's failure domain, as objects are large. None if the sender
-        is up to date, watches the store itself, or no such instance is known.
+        One of the sender's failure domain, as objects are large. Where none has them
+        yet, one instance at a time fetches from another domain. None if the sender is
+        up to date, watches the store itself, or has to wait.
         """
         board = self._board
         if self._is_monitor(renewal.member.address):
@@ -276,13 +287,18 @@
 
         if is_current(renewal):
             return None
+        now = board.now()
         domain = renewal.member.failure_domain
         sources = [
-            g.member
-            for g in self.grantees.find_live(board.now())
-            if g.member.failure_domain == domain and is_current(g.renewal)
+            g.member for g in self.grantees.find_live(now) if is_current(g.renewal)
         ]
-        return self._random.choice(sources) if sources else None
+        near = [m for m in (*sources, board.member) if m.failure_domain == domain]
+        if near:
+            return self._random.choice(near)
+        if now < self._source_named_at.get(domain, -math.inf) + SOURCE_INTERVAL:
+            return None
+        self._source_named_at[domain] = now
+        return self._random.choice(sources) if sources else board.member
 
     def _answer_demands(self, renewal: Renew) -> Allowances | None:
         demands = renewal.allowances
@@ -419,9 +435,7 @@
                 self._log.warning("record not confirmed", reason=str(error))
             self._end_if_overtaken()
             self._request_takeover_if_needed()
-            self._monitors = self.grantees.choose_monitors(
-                self._monitors, self._board.now()
-            )
+            self._choose_monitors()
             await self._remove_silent_instances()
             await asyncio.sleep(CONFIRM_INTERVAL)
 
@@ -624,6 +638,11 @@
         elif board.now() - self._confirmed_at > STORE_OUTAGE_LIMIT:
             self.request_takeover("the store does not answer here")
 
+    def _choose_monitors(self) -> None:
+        now = self._board.now()
+        self._monitors_chosen_at = now
+        self._monitors = self.grantees.choose_monitors(self._monitors, now)
+
     def _is_monitor(self, address: Address) -> bool:
         all_monitor = len(self.grantees.by_address) <= MAX_MONITORS
         return all_monitor or address in self._monitors
--- a/src/burdocksail/fleet/_snapshots.py
+++ b/src/burdocksail/fleet/_snapshots.py
@@ -17,6 +17,9 @@
 
 FETCH_INTERVAL = 0.5  # seconds between rounds of fetches
 FETCH_DELAY = 0.8  # seconds in which the store's own event may still arrive
+# The same where the leader names instances to fetch from: if all fetched from the
+# leader, its link would be busy for seconds.
+RELAYED_FETCH_DELAY = 2.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -87,7 +90,7 @@
         self._source_named.set()
 
     async def catch_up(self) -> None:
-        """Fetch from sources, and from peers ahead for `FETCH_DELAY`; do not return."""
+        """Fetch from named sources, and from peers that stay ahead; do not return."""
         while True:
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(FETCH_INTERVAL):
@@ -97,7 +100,9 @@
                 address, self._source = self._source, None
                 await self._fetch(address)
                 continue
-            limit = self._board.now() - FETCH_DELAY
+            is_relayed = not self._tracker.should_watch_store()
+            delay = RELAYED_FETCH_DELAY if is_relayed else FETCH_DELAY
+            limit = self._board.now() - delay
             self._peers_ahead = {
                 a: s for a, s in self._peers_ahead.items() if self._is_ahead(s)
             }
--- a/src/burdocksail/fleet/_tracking.py
+++ b/src/burdocksail/fleet/_tracking.py
@@ -51,6 +51,8 @@
 RELAY_TIMEOUT = 1.0
 # An instance that does not watch the fleet's objects lists them while it has no lease.
 FLEET_LIST_INTERVAL = 1.5  # seconds; up to as much random jitter is added
+# Seconds from the loss of the lease to the first list, with as much random jitter.
+FLEET_LIST_DELAY = 0.4
 MISSING_GRACE = 2.5  # seconds; a live server's entry is back within about two
 # Longer than the time over which a change of primary counts lost replicas.
 LOST_RETENTION = 60.0  # seconds
@@ -182,7 +184,7 @@
             if self._is_leader():
                 # Those begun before the leadership wait for longer.
                 self._restart_watches(min_age=2 * LEADER_WATCH_TIMEOUT)
-            if not self._should_watch_store():
+            if not self.should_watch_store():
                 self._stop_relayed_watches()
             self._drop_expired()
             self._apply_unconfirmed()
@@ -228,10 +230,10 @@
                 kind,
                 apply_listing,
                 apply_object,
-                self._should_watch_store,
+                self.should_watch_store,
                 version=version,
             )
-            while not self._should_watch_store():
+            while not self.should_watch_store():
                 await asyncio.sleep(POLL_INTERVAL)
             version = max(version, find_version())
 
@@ -379,7 +381,7 @@
         is_small_fleet = board.members.count() <= MAX_MONITORS + 1
         return is_small_fleet or board.authority.is_monitor
 
-    def _should_watch_store(self) -> bool:
+    def should_watch_store(self) -> bool:
         """Return whether this instance watches the configuration and the upstreams.
 
         Monitors do. The others learn of changes from the leader and fetch them from
@@ -394,7 +396,7 @@
         return self._board.now() > relayed_at + RELAY_TIMEOUT
 
     def _should_watch(self, kind: ObjectKind) -> bool:
-        return kind not in RELAYED_KINDS or self._should_watch_store()
+        return kind not in RELAYED_KINDS or self.should_watch_store()
 
     def _is_fleet_due(self) -> bool:
         now = self._board.now()
@@ -403,7 +405,12 @@
         if self._fleet_timeline < self._board.store.timeline:
             # A restoration may have lost this instance's own object.
             return now >= self._fleet_list_due_at
-        if self._board.authority.has_valid_lease(now) or now < self._fleet_list_due_at:
+        if self._board.authority.has_valid_lease(now):
+            # The next leader mostly sends its grants within this time.
+            delay = FLEET_LIST_DELAY * (1 + self._random.random())
+            self._fleet_list_due_at = max(self._fleet_list_due_at, now + delay)
+            return False
+        if now < self._fleet_list_due_at:
             return False
         self._fleet_list_due_at = now + FLEET_LIST_INTERVAL * (
             1 + self._random.random()
@@ -486,6 +493,8 @@
             return  # A later list is known from a peer's snapshot.
         if not directory.is_listed:
             directory.first_timeline = listing.version.timeline
+        elif self._is_known(listing):
+            return  # A later version without a change would make all peers fetch it.
         present = {stored.name for stored in listing.items}
         for stored in listing.items:
             self._apply_upstream(stored, removed=False)
@@ -493,6 +502,16 @@
             self._mark_missing(gone)
         self._advance_directory(listing.version)
 
+    def _is_known(self, listing: Listing) -> bool:
+        """Return whether a list of the same timeline holds just what is known."""
+        directory = self._board.directory
+        known = {name: stored.version for name, stored in directory.stored.items()}
+        return (
+            listing.version.timeline == directory.version.timeline
+            and known == {stored.name: stored.version for stored in listing.items}
+            and not directory.missing_since
+        )
+
     def _apply_upstream(self, stored: StoredObject, removed: bool) -> None:
         directory = self._board.directory
         upstream = None if removed else self._decoder.decode_upstream(stored)
