Give scarce tokens of a quota to operations of the first priority

Beyond its rate a workspace's bookings were refused as often as its reports. The leader grants scarce tokens only for operations of the first priority, where routes differ in it, and instances go on asking for those while others are refused.

--- a/src/burdocksail/authority/_allowances.py
+++ b/src/burdocksail/authority/_allowances.py
@@ -265,6 +265,7 @@
                 demand.rate if is_usual else 0.0,
                 demand.idle if demand.idle >= 0.0 else math.inf,
                 returned,
+                None if demand.preferred is None else max(0, demand.preferred),
             ),
             now,
             limit.rate * share,
--- a/src/burdocksail/authority/_leadership.py
+++ b/src/burdocksail/authority/_leadership.py
@@ -237,10 +237,10 @@
         now = self._board.now()
         grantee = self.grantees.record_renewal(renewal, now)
         self.allowances.record_renewal(renewal)
-        if len(self._monitors) < MAX_MONITORS:
-            # A leader that has just begun knows no instances at first.
-            if now >= self._monitors_chosen_at + MONITORS_INTERVAL:
-                self._choose_monitors()
+        # A leader that has just begun knows no instances at first.
+        has_few = len(self._monitors) < MAX_MONITORS
+        if has_few and now >= self._monitors_chosen_at + MONITORS_INTERVAL:
+            self._choose_monitors()
         is_known = renewal.member.address in self._peer_addresses()
         extends_lease = (
             self.holds_leader_lease and is_known and renewal.epoch <= self.epoch
--- a/src/burdocksail/fleet/_messages.py
+++ b/src/burdocksail/fleet/_messages.py
@@ -48,6 +48,9 @@
         Tokens that the sender no longer uses; None without any.
     returned_slot : int or None
         `Allowances.slot` of the tokens that are returned.
+    preferred : int or None
+        Operations of the first priority among the urgent ones; None if all routes
+        have the same priority.
     """
 
     workspace: str
@@ -57,6 +60,7 @@
     idle: float
     returned: int | None = None
     returned_slot: int | None = None
+    preferred: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/burdocksail/fleet/_structures.py
+++ b/src/burdocksail/fleet/_structures.py
@@ -152,6 +152,7 @@
         5: (4, "idle", False),
         6: (8, "returned", False),
         7: (10, "returned_slot", False),
+        8: (8, "preferred", False),
     }
     default_spec = [
         ("workspace", None),
@@ -161,6 +162,7 @@
         ("idle", None),
         ("returned", None),
         ("returned_slot", None),
+        ("preferred", None),
     ]
 
     def __init__(
@@ -172,6 +174,7 @@
         idle=None,
         returned=None,
         returned_slot=None,
+        preferred=None,
     ):
         self.workspace = workspace
         self.wanted = wanted
@@ -180,6 +183,7 @@
         self.idle = idle
         self.returned = returned
         self.returned_slot = returned_slot
+        self.preferred = preferred
 
 
 class AllowanceDemands:
--- a/src/burdocksail/fleet/fleet.thrift
+++ b/src/burdocksail/fleet/fleet.thrift
@@ -17,7 +17,8 @@
 
 struct AllowanceDemand {
   1: string workspace, 2: i32 wanted, 3: i32 urgent, 4: double rate,
-  5: double idle, 6: optional i32 returned, 7: optional i64 returned_slot
+  5: double idle, 6: optional i32 returned, 7: optional i64 returned_slot,
+  8: optional i32 preferred
 }
 struct AllowanceDemands { 1: i64 number, 2: list<AllowanceDemand> demands }
 struct Allowance { 1: string workspace, 2: i32 granted, 3: optional double wait }
--- a/src/burdocksail/serving/_allowances.py
+++ b/src/burdocksail/serving/_allowances.py
@@ -54,14 +54,30 @@
 DESCRIBED_WORKSPACES = 10
 
 
+@dataclass(slots=True)
+class _Waiter:
+    """An operation that waits for a token.
+
+    Attributes
+    ----------
+    granted : Future
+        Its result is whether a token was reserved.
+    is_preferred : bool
+        Whether the operation is of the first priority.
+    """
+
+    granted: asyncio.Future
+    is_preferred: bool
+
+
 @dataclass(slots=True)
 class _Holding:
     """State of one workspace at this instance.
 
     Attributes
     ----------
-    waiters : deque of Future
-        Operations that wait for tokens. The result is whether one was reserved.
+    waiters : deque of _Waiter
+        Operations that wait for tokens.
     used_at : float
         Clock reading at which an operation last came.
     """
@@ -69,7 +85,7 @@
     workspace: Workspace
     used_at: float
     stock: AllowanceStock = field(default_factory=AllowanceStock)
-    waiters: deque[asyncio.Future] = field(default_factory=deque)
+    waiters: deque[_Waiter] = field(default_factory=deque)
 
     @property
     def is_unused(self) -> bool:
@@ -77,6 +93,16 @@
         stock = self.stock
         return not (self.waiters or stock.reserved or stock.asked)
 
+    def count_preferred(self) -> int:
+        """Return how many operations of the first priority wait."""
+        return sum(waiter.is_preferred for waiter in self.waiters)
+
+    def take_first(self) -> _Waiter:
+        """Remove the operation that gets the next token: those preferred first."""
+        first = next((w for w in self.waiters if w.is_preferred), self.waiters[0])
+        self.waiters.remove(first)
+        return first
+
 
 class Reservation:
     """Permission for one operation to be sent to a server."""
@@ -110,10 +136,17 @@
     the token can be used.
     """
 
-    def __init__(self, holder: "AllowanceHolder", board: Blackboard, workspace: str):
+    def __init__(
+        self,
+        holder: "AllowanceHolder",
+        board: Blackboard,
+        workspace: str,
+        priority: int = 0,
+    ):
         self._holder = holder
         self._board = board
         self._workspace = workspace
+        self._priority = priority
         self._reservation: Reservation | None = None
         self._sendable_until = float("-inf")
 
@@ -126,7 +159,7 @@
             If there is none; the operation has not run.
         """
         if self._reservation is None and self._board.now() > self._sendable_until:
-            self._reservation = await self._holder.take(self._workspace)
+            self._reservation = await self._holder.take(self._workspace, self._priority)
             if self._reservation is None:
                 self._sendable_until = float("inf")
 
@@ -180,6 +213,8 @@
         self._limits: dict[str, AllowanceLimit] = {}
         self._limits_key: tuple = ()
         self._catalog: Catalog | None = None
+        self._first_priority = 0
+        self._has_priorities = False
         self._flush_scheduled = False
         self._next_request_at = float("-inf")
         self._next_renewal_at = float("-inf")
@@ -213,9 +248,14 @@
         demands = self._make_demands(self._holdings.values(), MAX_RIDING_BYTES)
         return self._open(demands, rides=True).demands if demands else None
 
-    async def take(self, workspace_name: str) -> Reservation | None:
+    async def take(self, workspace_name: str, priority: int = 0) -> Reservation | None:
         """Return a reservation for one operation, None if it needs none.
 
+        Parameters
+        ----------
+        priority : int
+            Priority of the operation's route; 0 is the highest.
+
         Raises
         ------
         CommandFailed
@@ -235,9 +275,10 @@
             return Reservation(self, holding)
         if floor_start is not None:
             raise self._reject_at_floor(holding)
-        if stock.exhausted_until > now + MAX_GRANT_WAIT:
+        is_preferred = priority <= self._first_priority
+        if stock.find_blocked_until(is_preferred) > now + MAX_GRANT_WAIT:
             raise self._reject(holding, "the rate of the workspace is used up")
-        return await self._wait_for_grant(holding)
+        return await self._wait_for_grant(holding, is_preferred)
 
     def spend(self, holding: _Holding) -> float | None:
         """Spend a token that an operation has reserved; see `Reservation.spend`."""
@@ -321,6 +362,9 @@
         if catalog is self._catalog:
             return
         self._catalog = catalog
+        priorities = {r.priority for r in catalog.routes.values()} if catalog else set()
+        self._first_priority = min(priorities, default=0)
+        self._has_priorities = len(priorities) > 1
         for name, holding in self._holdings.items():
             workspace = self._find_workspace(name)
             if workspace != holding.workspace:
@@ -362,24 +406,27 @@
         holding.stock.floor.fill(now, start, self._find_limit(holding.workspace))
         return start
 
-    async def _wait_for_grant(self, holding: _Holding) -> Reservation:
-        waiter = asyncio.get_running_loop().create_future()
+    async def _wait_for_grant(
+        self, holding: _Holding, is_preferred: bool
+    ) -> Reservation:
+        granted = asyncio.get_running_loop().create_future()
+        waiter = _Waiter(granted, is_preferred)
         holding.waiters.append(waiter)
         self._schedule_flush()
         try:
-            await asyncio.wait((waiter,), timeout=ANSWER_TIMEOUT)
+            await asyncio.wait((granted,), timeout=ANSWER_TIMEOUT)
         except asyncio.CancelledError:
-            if waiter.done() and waiter.result():
+            if granted.done() and granted.result():
                 holding.stock.release()
             raise
         finally:
             if waiter in holding.waiters:
                 holding.waiters.remove(waiter)
-        if not waiter.done():
+        if not granted.done():
             self._board.metrics.count("allowances_unanswered")
             self._expect_answer(holding)
             raise self._reject(holding, "the leader has not answered")
-        if not waiter.result():
+        if not granted.result():
             raise self._reject(holding, "the rate of the workspace is used up")
         return Reservation(self, holding)
 
@@ -393,20 +440,22 @@
         """
         stock = holding.stock
         while holding.waiters and stock.reserve(now):
-            waiter = holding.waiters.popleft()
-            if waiter.done():
+            granted = holding.take_first().granted
+            if granted.done():
                 stock.release()
             else:
-                waiter.set_result(True)
+                granted.set_result(True)
         if not holding.waiters:
             return
         self._next_request_at = now + REFUSED_INTERVAL
-        stock.record_refusal(now, wait, holding.workspace.rate)
+        rate = holding.workspace.rate
+        is_preferred = not self._has_priorities or holding.count_preferred() > 0
+        stock.record_refusal(now, wait, rate, is_preferred)
         if wait <= MAX_GRANT_WAIT:
             return
         for waiter in holding.waiters:
-            if not waiter.done():
-                waiter.set_result(False)
+            if not waiter.granted.done():
+                waiter.granted.set_result(False)
         holding.waiters.clear()
 
     def _reject(self, holding: _Holding, reason: str) -> CommandFailed:
@@ -474,7 +523,7 @@
     def _flush_when_filled(self, waiting: list[_Holding]) -> None:
         """Ask again when the leader expects to have tokens for operations that wait."""
         now = self._board.now()
-        refused = [h.stock.exhausted_until for h in waiting]
+        refused = [h.stock.find_blocked_until(h.count_preferred() > 0) for h in waiting]
         until = min((u for u in refused if u > now), default=None)
         if until is not None:
             self._next_request_at = max(self._next_request_at, until)
@@ -556,10 +605,13 @@
         epoch = self._board.authority.epoch
         unused = stock.take_unused(now, epoch)
         wanted = 0
+        preferred = holding.count_preferred() if self._has_priorities else 0
         if now >= stock.exhausted_until:
             # Until the next renewal, and its answer.
             lasting = RENEW_INTERVAL + self._requests.round_trips.average
             wanted = stock.compute_wanted(now, waiting, lasting)
+        elif now >= stock.preferred_until:
+            wanted = preferred
         if not wanted and not unused:
             return []
         missing = max(0, stock.compute_missing(now, waiting))
@@ -570,6 +622,7 @@
             0,
             round(stock.demand.estimate_others(now), 3),
             round(stock.demand.compute_idle_time(now), 3),
+            preferred=preferred if self._has_priorities else None,
         )
         demands = [
             replace(demand, returned=batch.count, returned_slot=batch.slot)
--- a/src/burdocksail/serving/_requests.py
+++ b/src/burdocksail/serving/_requests.py
@@ -79,7 +79,10 @@
         serving = self.serving
         self.arrived_at = serving.board.now()
         self.allowance = OperationAllowance(
-            serving.allowances, serving.board, self.session.workspace
+            serving.allowances,
+            serving.board,
+            self.session.workspace,
+            self.route.priority,
         )
         self.serving.retry_budget.record_request()
 
--- a/src/burdocksail/traffic/_allowance_stock.py
+++ b/src/burdocksail/traffic/_allowance_stock.py
@@ -173,9 +173,9 @@
     ----------
     reserved : int
         Operations that have reserved a token and not spent it.
-    exhausted_until : float
-        Clock reading before which the leader expects to have no tokens for this
-        instance.
+    exhausted_until, preferred_until : float
+        Clock readings before which the leader expects to have no tokens for this
+        instance, and none even for operations of the first priority.
     asked : int
         Tokens that have been asked for, without an answer yet.
     retry_at : float
@@ -190,6 +190,7 @@
     reserved: int = 0
     asked: int = 0
     exhausted_until: float = -math.inf
+    preferred_until: float = -math.inf
     retry_at: float = -math.inf
     retry_interval: float = 0.0
 
@@ -280,7 +281,13 @@
         missing = self.compute_missing(now, waiting)
         return max(0, missing + self.demand.compute_stock(now, seconds))
 
-    def record_refusal(self, now: float, wait: float, rate: float) -> None:
+    def find_blocked_until(self, is_preferred: bool) -> float:
+        """Return the clock reading before which the leader expects to have no token."""
+        return self.preferred_until if is_preferred else self.exhausted_until
+
+    def record_refusal(
+        self, now: float, wait: float, rate: float, is_preferred: bool = True
+    ) -> None:
         """Record that the leader had fewer tokens than wanted.
 
         Parameters
@@ -289,8 +296,12 @@
             Seconds until the leader expects to have more.
         rate : float
             Tokens per second of the workspace, over all instances.
+        is_preferred : bool
+            Whether it had too few even for operations of the first priority.
         """
         self.exhausted_until = now + wait
+        if is_preferred:
+            self.preferred_until = now + wait
         self.retry_interval = max(wait, 1.0 / rate if rate > 0 else wait)
 
     def compute_retry_after(self, now: float) -> float:
--- a/src/burdocksail/traffic/_allowances.py
+++ b/src/burdocksail/traffic/_allowances.py
@@ -237,6 +237,9 @@
         Seconds since the last of them.
     returned : int
         Tokens that it has just returned.
+    preferred : int or None
+        Operations of the first priority among the urgent ones; None if operations do
+        not differ in priority.
     """
 
     instance: str
@@ -245,6 +248,7 @@
     rate: float
     idle: float
     returned: int = 0
+    preferred: int | None = None
 
 
 @dataclass(slots=True)
@@ -347,7 +351,8 @@
         """Return the tokens granted to an instance, and the seconds until more.
 
         In order of arrival while there are enough. When they are scarce and the fleet
-        wants more than the rate, an instance gets its share of what there is, and one
+        wants more than the rate, operations of the first priority get what there is.
+        Where operations do not differ in priority, an instance gets its share, and one
         token at least for an operation that waits.
 
         Parameters
@@ -365,7 +370,10 @@
         if is_scarce and self._is_overloaded(rate):
             excess = 1.0 - rate / self.shares.total
             fair = int(self.bucket.level * share)
-            limit = min(demand.wanted, max(fair, min(1, urgent)))
+            if demand.preferred is None:
+                limit = min(demand.wanted, max(fair, min(1, urgent)))
+            else:
+                limit = min(urgent, demand.preferred, max(fair, 1))
         granted = self.bucket.take(limit)
         self.granted += granted
         if granted >= demand.wanted:
--- a/src/burdocksail/traffic/allowance_lifetimes_test.py
+++ b/src/burdocksail/traffic/allowance_lifetimes_test.py
@@ -109,6 +109,22 @@
         self.ledger = AllowanceLedger(AllowanceBucket(0.0, 5.0), 0.0)
         self.assertEqual(self.grant("i-0", 0.0, 0.0), 0)
 
+    def test_scarce_tokens_go_to_operations_of_the_first_priority(self):
+        """Beyond its rate, a workspace's bookings were refused as often as reports."""
+        self.ledger = make_ledger(1.5)
+        reports = TokenDemand("i-0", 1, 1, 90.0, 0.0, preferred=0)
+        bookings = TokenDemand("i-1", 1, 1, 90.0, 0.0, preferred=1)
+        granted, wait = self.ledger.grant(reports, 0.0, 20.0, 20.0)
+        self.assertEqual(granted, 0)
+        self.assertGreater(wait, 0.0)
+        self.assertEqual(self.ledger.grant(bookings, 0.0, 20.0, 20.0)[0], 1)
+
+    def test_operations_without_the_first_priority_get_what_is_not_scarce(self):
+        """Tokens would be left over while no operation of that priority comes."""
+        self.ledger = make_ledger(9.0)
+        reports = TokenDemand("i-0", 1, 1, 90.0, 0.0, preferred=0)
+        self.assertEqual(self.ledger.grant(reports, 0.0, 20.0, 20.0)[0], 1)
+
     def test_random_arrivals_above_the_rate_cause_no_long_wait(self):
         """A wait of 16 s was told with tokens in the bucket."""
         self.ledger = make_ledger(0.2)
