--- a/src/burdocksail/fakes/_network.py
+++ b/src/burdocksail/fakes/_network.py
@@ -1,6 +1,7 @@
 """In-memory network between instances; its links can be cut."""
 
 import asyncio
+from collections import Counter
 from collections.abc import Callable
 
 from burdocksail.fleet import (
@@ -24,10 +25,13 @@
     cut_links : set of (str, str)
         Pairs of sending and receiving host between which datagrams and
         snapshot requests are dropped.
+    snapshots_served : Counter of (str, int)
+        Number of snapshots fetched from each address.
     """
 
     def __init__(self) -> None:
         self.cut_links: set[tuple[str, str]] = set()
+        self.snapshots_served: Counter[Address] = Counter()
         self._peers: dict[Address, MemoryPeers] = {}
 
     def attach(self, address: Address, peers: "MemoryPeers") -> None:
@@ -105,4 +109,7 @@
         """
         await asyncio.sleep(SNAPSHOT_DELAY)
         peers = self._network.find(self._address, address)
-        return None if peers is None else peers.take_snapshot()
+        if peers is None:
+            return None
+        self._network.snapshots_served[address] += 1
+        return peers.take_snapshot()
--- a/src/burdocksail/fakes/large_fleet_test.py
+++ b/src/burdocksail/fakes/large_fleet_test.py
@@ -5,7 +5,14 @@
 from unittest import mock
 
 from burdocksail.authority import _grantees, _leadership
-from burdocksail.fakes import SERVICE, Fleet, run_scenario, silence_logs, write
+from burdocksail.fakes import (
+    SERVICE,
+    Fleet,
+    make_catalog,
+    run_scenario,
+    silence_logs,
+    write,
+)
 from burdocksail.fleet import _tracking
 from burdocksail.ports import ObjectKind
 
@@ -70,6 +77,78 @@
 
         self.run_fleet_scenario(scenario)
 
+    def versions(self, fleet: Fleet) -> dict[str, int]:
+        return {
+            name: instance.board.catalog.catalog.version
+            for name, instance in fleet.instances.items()
+        }
+
+    async def assert_in_force(self, fleet: Fleet, version: int, within: float) -> None:
+        loop = asyncio.get_running_loop()
+        end = loop.time() + within
+        while set(self.versions(fleet).values()) != {version}:
+            self.assertLess(loop.time(), end, self.versions(fleet))
+            await asyncio.sleep(0.05)
+
+    def test_only_monitors_read_a_new_configuration_from_the_store(self):
+        """Each version cost a call and 23 kB for each of 88 instances."""
+
+        async def scenario(fleet: Fleet) -> None:
+            monitors = self.monitors(fleet)
+            others = [name for name in fleet.instances if name not in monitors]
+            before = {n: sum(fleet.clients[n].calls.values()) for n in others}
+            for version in (2, 3):
+                fleet.publish(make_catalog(version))
+                await self.assert_in_force(fleet, version, 2.0)
+            fleet.store.remove(ObjectKind.UPSTREAMS, "server-2")
+            await asyncio.sleep(5.0)
+            known = fleet.leader().board.directory.upstreams
+            self.assertGreater(known["server-2"].sequence, 1)
+            for name in others:
+                directory = fleet.instances[name].board.directory
+                self.assertEqual(directory.upstreams, known)
+                self.assertEqual(sum(fleet.clients[name].calls.values()), before[name])
+
+        self.run_fleet_scenario(scenario)
+
+    def test_new_configuration_while_the_leader_does_not_reach_the_store(self):
+        async def scenario(fleet: Fleet) -> None:
+            fleet.clients[fleet.leader().board.member.name].hangs = True
+            fleet.publish(make_catalog(2))
+            await self.assert_in_force(fleet, 2, 4.0)
+
+        self.run_fleet_scenario(scenario)
+
+    def test_new_configuration_while_no_leader_answers(self):
+        """An instance that hears no leader watches the store itself."""
+
+        async def scenario(fleet: Fleet) -> None:
+            leader = fleet.leader().board.member.name
+            name = next(n for n in fleet.instances if n not in self.monitors(fleet))
+            self.assertNotEqual(name, leader)
+            fleet.network.isolate(fleet.host(name), fleet.hosts())
+            await asyncio.sleep(0.5)
+            fleet.publish(make_catalog(2))
+            await self.assert_in_force(fleet, 2, 4.0)
+
+        self.run_fleet_scenario(scenario)
+
+    def test_new_leader_is_not_asked_for_snapshots_by_all(self):
+        """The snapshots of 88 instances filled its link, and it lost the leadership."""
+
+        async def scenario(fleet: Fleet) -> None:
+            fleet.kill(fleet.leader().board.member.name)
+            await asyncio.sleep(6.0)
+            epoch = fleet.leader().board.authority.epoch
+            fleet.publish(make_catalog(2))
+            await self.assert_in_force(fleet, 2, 2.0)
+            address = fleet.leader().board.member.address
+            fetched = fleet.network.snapshots_served[address]
+            self.assertLessEqual(fetched, INSTANCES // 2)
+            self.assertEqual(fleet.leader().board.authority.epoch, epoch)
+
+        self.run_fleet_scenario(scenario)
+
     def test_leader_and_all_monitors_are_lost(self):
         """The other instances keep serving, elect a leader and fail over.
 
--- a/src/burdocksail/fleet/_tracking.py
+++ b/src/burdocksail/fleet/_tracking.py
@@ -196,6 +196,7 @@
         """Apply a peer's list of entries if it is newer than the known one."""
         if version > self._board.directory.version:
             self._apply_upstream_list(Listing(items, version))
+            self._advance_directory(version)
 
     def handle_peer_timeline(self, timeline: int) -> None:
         """Start all watches again if a peer knows a later timeline of the store.
@@ -276,7 +277,7 @@
                         apply_object(event.object, removed=event.removed)
                     version = max(version, events.version)
                     if kind is ObjectKind.UPSTREAMS and events.events:
-                        self._advance_directory(version)
+                        self._advance_directory(_find_last_change(events))
             except _WatchStoppedError:
                 pass  # Peers tell what changes from now on.
             except HistoryLost as error:
@@ -726,6 +727,17 @@
         self._board.changed.notify()
 
 
+def _find_last_change(events: StoreEvents) -> StoreVersion:
+    """Return the version of the last of some events.
+
+    Instances that have read the same events at different times agree on it, but for a
+    removal, whose own version may not be known.
+    """
+    if any(event.removed for event in events.events):
+        return events.version
+    return max(event.object.version for event in events.events)
+
+
 def _differs(previous: Upstream, current: Upstream) -> bool:
     return (
         previous.state is not current.state
