--- a/src/burdocksail/fleet/_tracking.py
+++ b/src/burdocksail/fleet/_tracking.py
@@ -53,6 +53,8 @@
 FLEET_LIST_INTERVAL = 1.5  # seconds; up to as much random jitter is added
 # Seconds from the loss of the lease to the first list, with as much random jitter.
 FLEET_LIST_DELAY = 0.4
+# Seconds without a lease from a leader that answers, until the objects are listed.
+MAX_TAKEOVER_TIME = 4.0
 MISSING_GRACE = 2.5  # seconds; a live server's entry is back within about two
 # Longer than the time over which a change of primary counts lost replicas.
 LOST_RETENTION = 60.0  # seconds
@@ -132,6 +134,7 @@
         self._peer_timeline = 0
         self._watches: dict[ObjectKind, _RunningWatch] = {}
         self._started_at = board.now()
+        self._leased_at = float("-inf")
         self._log = get_logger()
 
     async def watch_catalog(self) -> None:
@@ -406,13 +409,20 @@
         if self._fleet_timeline < self._board.store.timeline:
             # A restoration may have lost this instance's own object.
             return now >= self._fleet_list_due_at
-        if self._board.authority.has_valid_lease(now):
+        authority = self._board.authority
+        if authority.has_valid_lease(now):
+            self._leased_at = now
             # The next leader mostly sends its grants within this time.
             delay = FLEET_LIST_DELAY * (1 + self._random.random())
             self._fleet_list_due_at = max(self._fleet_list_due_at, now + delay)
             return False
         if now < self._fleet_list_due_at:
             return False
+        heard_at = authority.last_grant_at
+        if heard_at is not None and now < min(
+            heard_at + RELAY_TIMEOUT, self._leased_at + MAX_TAKEOVER_TIME
+        ):
+            return False  # The leader is there, and has another one take over.
         self._fleet_list_due_at = now + FLEET_LIST_INTERVAL * (
             1 + self._random.random()
         )
