End unanswered demands for tokens when their tokens would expire

Demands were dropped after 0.85 s and counted as unanswered only after 1 s, so they counted as asked for, for ever. One time holds for both now.

--- a/src/burdocksail/serving/_allowance_requests.py
+++ b/src/burdocksail/serving/_allowance_requests.py
@@ -6,8 +6,6 @@
 
 from burdocksail.fleet import Address, AllowanceDemand, AllowanceDemands
 
-# Seconds for which an answer is awaited. A later one still brings its tokens.
-ANSWER_LIFETIME = 1.0
 MIN_RESEND_DELAY = 0.1  # seconds; four round trips between regions
 # An operation waits for this time, so that a later resend would be in vain.
 ANSWER_TIMEOUT = 0.15  # seconds
@@ -134,9 +132,10 @@
         expired = []
         for number, sent in list(self._sent.items()):
             age = now - sent.sent_at
-            if sent.is_awaited and (age >= ANSWER_LIFETIME or sent.epoch != epoch):
+            is_over = age >= max_age
+            if sent.is_awaited and (is_over or sent.epoch != epoch):
                 sent.is_awaited = False
                 expired.append(sent)
-            if age >= max_age:
+            if is_over:
                 del self._sent[number]
         return expired
