--- a/src/burdocksail/serving/_choice.py
+++ b/src/burdocksail/serving/_choice.py
@@ -1,12 +1,13 @@
 """Choice of the server for a statement, and the wait until one can run it."""
 
+from dataclasses import dataclass
 from operator import itemgetter
 
 from burdocksail.board import GroupState, GroupView
 from burdocksail.catalog import Upstream
 from burdocksail.core import FailureKind
 from burdocksail.serving._freshness import compute_floor
-from burdocksail.serving._pools import Pool, PooledConnection
+from burdocksail.serving._pools import Forecast, Pool, PooledConnection
 from burdocksail.serving._replies import CommandFailed
 from burdocksail.serving._requests import StatementRequest, reject
 from burdocksail.serving._routing import rank_servers
@@ -17,6 +18,7 @@
 WAIT_MARGIN = 2.0  # of the expected wait, before another server is tried
 POLL_SHARE = 0.1  # of the time waited so far, where there are workspaces
 POLL_INTERVAL = 0.015  # seconds, of what waits without a notification
+QUEUES_TOO_LONG = "the queues are too long"
 
 _OBSTACLE_REASONS = {
     Obstacle.STARTING: "this instance has just started",
@@ -26,6 +28,57 @@
 }
 
 
+@dataclass(frozen=True, slots=True)
+class PrimaryCheck:
+    """Whether statements may start at the primary now, and else what that waits for.
+
+    Attributes
+    ----------
+    view : GroupView or None
+        View under which they may start; None if they may not.
+    upstream : Upstream or None
+        The primary, if they may start.
+    limit : float
+        Clock reading until which the statement waits.
+    opens_at : float
+        Clock reading before which the group cannot open.
+    """
+
+    view: GroupView | None = None
+    upstream: Upstream | None = None
+    obstacle: Obstacle = Obstacle.NO_LEASE
+    limit: float = 0.0
+    opens_at: float = 0.0
+
+    @property
+    def reason(self) -> str:
+        """Return what the statement waits for, as the caller is told."""
+        return _OBSTACLE_REASONS[self.obstacle]
+
+    def is_hopeless(self, now: float) -> bool:
+        """Return whether the statement is rejected, as the wait would be too long."""
+        return now >= self.limit or self.opens_at >= self.limit
+
+
+def check_primary(request: StatementRequest, wait_until: float) -> PrimaryCheck:
+    """Return whether a statement may start at the primary now; changes nothing.
+
+    Parameters
+    ----------
+    wait_until : float
+        Clock reading until which it would wait for a change of primary.
+    """
+    board, service = request.board, request.route.service
+    view = board.get_view_for_new_work(service)
+    if view is not None:
+        upstream = board.directory.upstreams.get(view.primary_id)
+        if upstream is not None and service not in board.authority.unreachable:
+            return PrimaryCheck(view, upstream)
+    limit, obstacle = _find_wait_limit(request, wait_until)
+    opens_at = board.authority.opens_not_before.get(service, board.now())
+    return PrimaryCheck(None, None, obstacle, limit, opens_at)
+
+
 async def wait_for_primary(request: StatementRequest) -> tuple[GroupView, Pool]:
     """Wait until statements may start at the primary; return its view and its pool.
 
@@ -37,21 +90,16 @@
         If that takes too long; the statement has had no lasting effect.
     """
     board = request.board
-    service = request.route.service
     wait_until = request.primary_deadline
     while True:
+        check = check_primary(request, wait_until)
+        if check.view is not None:
+            return check.view, request.serving.pools.get(check.upstream)
         now = board.now()
-        view = board.get_view_for_new_work(service)
-        if view is not None:
-            upstream = board.directory.upstreams.get(view.primary_id)
-            if upstream is not None and service not in board.authority.unreachable:
-                return view, request.serving.pools.get(upstream)
-        limit, obstacle = _find_wait_limit(request, wait_until)
-        opens_at = board.authority.opens_not_before.get(service, now)
-        request.expected_wait = max(0.0, opens_at - now)
-        if now >= limit or opens_at >= limit:
-            raise reject(request, _OBSTACLE_REASONS[obstacle], obstacle)
-        await board.changed.wait(min(limit - now, _find_poll_interval(request)))
+        request.expected_wait = max(0.0, check.opens_at - now)
+        if check.is_hopeless(now):
+            raise reject(request, check.reason, check.obstacle)
+        await board.changed.wait(min(check.limit - now, _find_poll_interval(request)))
 
 
 def _find_poll_interval(request: StatementRequest) -> float:
@@ -132,26 +180,53 @@
     CommandFailed
         If every queue takes longer than the statement can wait.
     """
+    choice = find_short_queue(
+        request, [request.serving.pools.get(upstream) for upstream in ranked]
+    )
+    if choice.excess > 0:
+        workspace = request.session.workspace
+        request.expected_wait = choice.pool.assign_return(workspace, choice.excess)
+        raise reject(request, QUEUES_TOO_LONG, Obstacle.OVERLOAD)
+    return choice.pool
+
+
+@dataclass(frozen=True, slots=True)
+class QueueChoice:
+    """The server whose queue a read joins.
+
+    Attributes
+    ----------
+    excess : float
+        Seconds by which every queue takes longer than the read can wait; the read is
+        rejected if that is above 0.
+    """
+
+    pool: Pool
+    excess: float = 0.0
+
+
+def find_short_queue(request: StatementRequest, pools: list[Pool]) -> QueueChoice:
+    """Return the first pool with a short queue, else the shortest; changes nothing.
+
+    Parameters
+    ----------
+    pools : list of Pool
+        Those of the servers that may run the read, lowest cost first.
+    """
     workspace, level = request.session.workspace, request.route.priority
     now = request.board.now()
-    limit = request.route.target_latency * ACQUIRE_SHARE
-    waits = [
-        (pool.estimate_wait(request.order, workspace, level), pool)
-        for pool in (request.serving.pools.get(upstream) for upstream in ranked)
-    ]
+    limit = find_read_wait_limit(request)
+    waits = [(p.estimate_wait(request.order, workspace, level), p) for p in pools]
     # A server that has just failed has a short queue because it is avoided.
     usable = [w for w in waits if w[1].statistics.avoid_until <= now] or waits
     for wait, pool in usable:
         if wait <= limit:
-            return pool
+            return QueueChoice(pool)
     left = request.retry_deadline - now
     shortest, pool = min(usable, key=itemgetter(0))
     if shortest > left:
         shortest, pool = min(waits, key=itemgetter(0))
-    if shortest > left:
-        request.expected_wait = pool.assign_return(workspace, shortest - left)
-        raise reject(request, "the queues are too long", Obstacle.OVERLOAD)
-    return pool
+    return QueueChoice(pool, max(0.0, shortest - left))
 
 
 async def acquire_for_read(request: StatementRequest, pool: Pool) -> PooledConnection:
@@ -166,8 +241,7 @@
     CommandFailed
         If the workspace is not configured any more.
     """
-    limit = request.route.target_latency * ACQUIRE_SHARE
-    return await _acquire(request, pool, limit)
+    return await _acquire(request, pool, find_read_wait_limit(request))
 
 
 async def acquire_at_primary(request: StatementRequest, pool: Pool) -> PooledConnection:
@@ -186,13 +260,46 @@
     return await _acquire(request, pool, request.single_wait_limit)
 
 
+def find_read_wait_limit(request: StatementRequest) -> float:
+    """Return the seconds that a read waits for a connection to one server."""
+    return request.route.target_latency * ACQUIRE_SHARE
+
+
+def forecast_acquisition(
+    request: StatementRequest, pool: Pool, limit: float
+) -> Forecast:
+    """Return what a statement would meet that acquires a connection; changes nothing.
+
+    Parameters
+    ----------
+    limit : float
+        Seconds of one wait, as for `acquire_for_read` and `acquire_at_primary`.
+
+    Raises
+    ------
+    CommandFailed
+        If the workspace is not configured any more.
+    """
+    workspace, level = request.session.workspace, request.route.priority
+    if request.serving.has_workspaces:
+        _check_workspace(request)
+    longest = _find_longest_wait(request, limit)
+    return pool.forecast(request.order, longest, workspace, level)
+
+
+def _find_longest_wait(request: StatementRequest, limit: float) -> float:
+    """Return the seconds that a statement can wait for a server in all."""
+    left = request.retry_deadline - request.board.now()
+    return left if request.serving.has_workspaces else min(limit, left)
+
+
 async def _acquire(
     request: StatementRequest, pool: Pool, limit: float
 ) -> PooledConnection:
     workspace, level = request.session.workspace, request.route.priority
-    left = request.retry_deadline - request.board.now()
+    left = _find_longest_wait(request, limit)
     if not request.serving.has_workspaces:
-        return await pool.acquire(request.order, min(limit, left), workspace)
+        return await pool.acquire(request.order, left, workspace)
     _check_workspace(request)
     expected = pool.estimate_wait(request.order, workspace, level)
     timeout = min(max(limit, expected * WAIT_MARGIN), left)
--- a/src/burdocksail/serving/_connections.py
+++ b/src/burdocksail/serving/_connections.py
@@ -27,6 +27,25 @@
         self.expected_wait = expected_wait
 
 
+@dataclass(frozen=True, slots=True)
+class Forecast:
+    """What a request for a connection would meet now.
+
+    Attributes
+    ----------
+    connection : PooledConnection or None
+        Connection that it would get at once; None if it would wait.
+    expected_wait : float
+        Estimated seconds until it would get one; 0 if unknown.
+    is_too_long : bool
+        Whether it would be rejected at once, as it cannot wait for so long.
+    """
+
+    connection: "PooledConnection | None" = None
+    expected_wait: float = 0.0
+    is_too_long: bool = False
+
+
 @dataclass(frozen=True, slots=True)
 class Lease:
     """Exclusive use of a connection by a request.
--- a/src/burdocksail/serving/_freshness.py
+++ b/src/burdocksail/serving/_freshness.py
@@ -105,7 +105,7 @@
         primary itself may run the read.
     """
     view = board.authority.groups.get(route.service)
-    samples = board.samples.for_service(route.service)
+    samples = board.samples.by_service.get(route.service, ())
     needed: list[Floor] = []
     if route.max_age is not None:
         oldest = arrived_at - route.max_age
--- a/src/burdocksail/serving/_pool.py
+++ b/src/burdocksail/serving/_pool.py
@@ -11,7 +11,12 @@
 from burdocksail.core import get_logger
 from burdocksail.ports import ConnectFailed, Connector, ReplyStatus, TooManyConnections
 from burdocksail.serving._budget import compute_budget
-from burdocksail.serving._connections import Lease, NoConnection, PooledConnection
+from burdocksail.serving._connections import (
+    Forecast,
+    Lease,
+    NoConnection,
+    PooledConnection,
+)
 from burdocksail.serving._pool_workspaces import PoolWorkspaces, describe_workspaces
 from burdocksail.serving._statistics import ServerStatistics, find_shared_speed
 from burdocksail.traffic import (
@@ -25,6 +30,7 @@
 
 CONNECT_TIMEOUT = 1.0  # seconds; several round trips across regions and a handshake
 TIMER_SLACK = 0.002  # seconds; an event-loop timer may fire early against the clock
+QUEUE_TOO_LONG = "the queue is too long"
 FAILURES = frozenset({ReplyStatus.FAILED, ReplyStatus.TIMEOUT})
 INITIAL_HOLD_TIME = 0.03  # seconds; assumed before the first release
 HOLD_TIME_WEIGHT = 0.1  # of the newest sample in the moving average
@@ -121,12 +127,14 @@
             workspace, level = self._workspaces.find_place_of_probe()
         else:
             self._workspaces.record_request(workspace)
-        connection = self._find_idle(workspace)
-        if connection is not None and self._may_use_another():
+        self._drop_closed()
+        longest = timeout if patience is None else patience
+        forecast = self.forecast(order, longest, workspace, level)
+        if forecast.connection is not None:
             self._charge(workspace, level, self._hold_time)
-            return self._lend(connection, workspace, level)
-        expected = self.estimate_wait(order, workspace, level)
-        self._check_wait(workspace, expected, timeout if patience is None else patience)
+            return self._lend(forecast.connection, workspace, level)
+        if forecast.is_too_long:
+            raise self._reject(workspace, forecast.expected_wait, longest)
         future = asyncio.get_running_loop().create_future()
         request = self._queue.push(workspace, level, order, future)
         self._advance()
@@ -146,16 +154,32 @@
             raise NoConnection(self._last_failure or "no answer", not self._server_full)
         raise NoConnection("all connections are in use")
 
+    def forecast(
+        self, order: float, longest: float, workspace: str | None = "", level: int = 0
+    ) -> Forecast:
+        """Return what a request would meet now, and change nothing.
+
+        Parameters
+        ----------
+        longest : float
+            Seconds that the request can wait in all.
+        """
+        connection = self._peek_idle(workspace)
+        if connection is not None and self._may_use_another():
+            return Forecast(connection)
+        expected = self.estimate_wait(order, workspace, level)
+        return Forecast(None, expected, expected > longest)
+
     def estimate_wait(
         self, order: float, workspace: str | None = "", level: int = 0
     ) -> float:
         """Return the expected seconds until a request would get a connection.
 
-        0 if it would get one at once, or if nothing is known.
+        0 if it would get one at once, or if nothing is known. Changes nothing.
         """
         if not self._workspaces.are_configured:
             ahead = self._queue.count_due(order)
-        elif not self._queue or self._find_idle(workspace) is not None:
+        elif not self._queue or self._peek_idle(workspace) is not None:
             return 0.0
         else:
             ahead = self._queue.estimate_ahead(workspace, level)
@@ -288,8 +312,13 @@
         Connections that are known to be closed are dropped.
         """
         self._drop_closed()
+        return self._peek_idle(workspace)
+
+    def _peek_idle(self, workspace: str | None) -> PooledConnection | None:
+        """Return the open connection that a workspace used last, None without one."""
         for connection in reversed(self._idle):
-            if workspace is None or connection.workspace == workspace:
+            is_usable = workspace is None or connection.workspace == workspace
+            if is_usable and connection.is_open:
                 return connection
         return None
 
@@ -423,12 +452,13 @@
         elif not isinstance(future.result(), NoConnection):
             self.release(future.result())
 
-    def _check_wait(self, workspace: str | None, expected: float, limit: float) -> None:
-        if expected <= limit:
-            return
+    def _reject(
+        self, workspace: str | None, expected: float, longest: float
+    ) -> NoConnection:
+        """Return the error of a request that cannot wait for so long."""
         if self._workspaces.are_configured:
-            expected = self.assign_return(workspace, expected - limit)
-        raise NoConnection("the queue is too long", expected_wait=expected)
+            expected = self.assign_return(workspace, expected - longest)
+        return NoConnection(QUEUE_TOO_LONG, expected_wait=expected)
 
     def _may_open(self) -> bool:
         """Return whether another connection may be opened now, the budget apart."""
--- a/src/burdocksail/serving/_pools.py
+++ b/src/burdocksail/serving/_pools.py
@@ -5,11 +5,15 @@
 from burdocksail.board import Blackboard
 from burdocksail.catalog import Catalog, Upstream
 from burdocksail.ports import Connector
-from burdocksail.serving._connections import NoConnection, PooledConnection
+from burdocksail.serving._connections import (
+    Forecast,
+    NoConnection,
+    PooledConnection,
+)
 from burdocksail.serving._pool import Pool
 from burdocksail.traffic import Demand
 
-__all__ = ["ConnectionPools", "NoConnection", "Pool", "PooledConnection"]
+__all__ = ["ConnectionPools", "Forecast", "NoConnection", "Pool", "PooledConnection"]
 
 
 class ConnectionPools:
@@ -28,16 +32,32 @@
         A restarted server has lost its sessions, and one at another address is a
         different server, so either gets a new pool and the old one is closed.
         """
-        pool = self._pools.get(upstream.id)
-        if pool is not None and not _is_same_server(pool.upstream, upstream):
-            pool.close()
-        if pool is not None and pool.is_closed:
-            pool = None  # Connections in use are still released to the old pool.
+        pool = self._find(upstream)
         if pool is None:
-            pool = Pool(self._board, self._connector, upstream, self._demand)
-            self._pools[upstream.id] = pool
+            # Connections in use are still released to the old pool.
+            replaced = self._pools.get(upstream.id)
+            if replaced is not None:
+                replaced.close()
+            pool = self._pools[upstream.id] = self._make(upstream)
         return pool
 
+    def peek(self, upstream: Upstream) -> Pool:
+        """Return the pool that `get` would return, and change nothing.
+
+        A pool that does not exist yet is made, but not kept.
+        """
+        return self._find(upstream) or self._make(upstream)
+
+    def _find(self, upstream: Upstream) -> Pool | None:
+        """Return the pool of a server, None if it has none that is in use."""
+        pool = self._pools.get(upstream.id)
+        if pool is None or pool.is_closed:
+            return None
+        return pool if _is_same_server(pool.upstream, upstream) else None
+
+    def _make(self, upstream: Upstream) -> Pool:
+        return Pool(self._board, self._connector, upstream, self._demand)
+
     def close_unused(self) -> None:
         """Close the pools of removed upstreams, and surplus idle connections.
 
--- a/src/burdocksail/serving/_routing.py
+++ b/src/burdocksail/serving/_routing.py
@@ -1,11 +1,14 @@
 """Collects what is known about the servers that may run a read, and ranks them."""
 
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+
 from burdocksail.board import Blackboard
 from burdocksail.catalog import Route, Upstream, UpstreamState
 from burdocksail.serving._context import ServingContext
 from burdocksail.serving._freshness import Floor
 from burdocksail.serving._statistics import find_shared_speed
-from burdocksail.traffic import ServerLoad, find_ejected, rank_by_cost
+from burdocksail.traffic import ServerHealth, ServerLoad, find_ejected, rank_by_cost
 
 # Assumed round trips in seconds, by distance. They are part of the cost beside the
 # measured ones, so that reads stay near.
@@ -14,6 +17,18 @@
 OTHER_REGION_ROUND_TRIP = 0.03
 
 
+@dataclass(frozen=True, slots=True)
+class Survey:
+    """The servers that are ready to run a read, and what is known about each."""
+
+    ready: dict[str, Upstream]
+    loads: list[ServerLoad]
+
+    def rank(self) -> list[Upstream]:
+        """Return the servers that may run the read, lowest cost first."""
+        return [self.ready[name] for name in rank_by_cost(self.loads)]
+
+
 def rank_servers(serving: ServingContext, route: Route, floor: Floor) -> list[Upstream]:
     """Return the servers that are ready to run a read, lowest cost first.
 
@@ -24,6 +39,24 @@
         applied it refuses the read, so one that is known to lag is left out unless
         no server is left.
     """
+    return survey_servers(serving, route, floor, find_ejected).rank()
+
+
+def survey_servers(
+    serving: ServingContext,
+    route: Route,
+    floor: Floor,
+    find_ejected_servers: Callable[[Mapping[str, ServerHealth], float], set[str]],
+) -> Survey:
+    """Return what is known about the servers that are ready to run a read.
+
+    Parameters
+    ----------
+    floor : Floor
+        Log position that the server must have applied.
+    find_ejected_servers : callable
+        Returns the servers that are ejected at a clock reading, by their health.
+    """
     board, pools, service = serving.board, serving.pools, route.service
     view = board.authority.groups.get(service)
     primary_id = None if view is None else view.primary_id
@@ -33,13 +66,13 @@
         if upstream.state is UpstreamState.READY
     }
     healths = {name: pools.get(u).statistics.health for name, u in ready.items()}
-    ejected = find_ejected(healths, board.now())
+    ejected = find_ejected_servers(healths, board.now())
     run_time = serving.work_times[service].estimate((route.name, False))
     loads = [
         _describe_load(serving, upstream, primary_id, floor, run_time, ejected)
         for upstream in ready.values()
     ]
-    return [ready[name] for name in rank_by_cost(loads)]
+    return Survey(ready, loads)
 
 
 def estimate_round_trip(board: Blackboard, upstream: Upstream) -> float:
--- a/src/burdocksail/serving/_sessions.py
+++ b/src/burdocksail/serving/_sessions.py
@@ -28,6 +28,22 @@
 DEFAULT_TRANSACTION_IDLE_TIMEOUT = 3.0  # seconds, while there is no configuration
 
 
+def may_use_route(route: Route | None, owner: str | None) -> bool:
+    """Return whether callers may use a route, where there are workspaces.
+
+    Parameters
+    ----------
+    owner : str or None
+        Workspace that the caller's key belongs to; None if the key is unknown.
+    """
+    return owner is not None or (route is not None and not route.requires_key)
+
+
+def must_run_at_primary(route: Route, writes: bool) -> bool:
+    """Return whether a statement outside of a transaction may only run there."""
+    return writes or route.policy is ReadPolicy.PRIMARY
+
+
 class CallerSession:
     """One caller's session; commands must not be executed concurrently.
 
@@ -208,7 +224,7 @@
             request = StatementRequest(
                 self._serving, self._find_route(), self._session_state, command
             )
-            at_primary = writes or request.route.policy is ReadPolicy.PRIMARY
+            at_primary = must_run_at_primary(request.route, writes)
             upstream_reply = await (run_at_primary if at_primary else run_read)(
                 request, writes
             )
@@ -254,8 +270,7 @@
         else:
             route = catalog.routes.get(self.database)
             owner = catalog.workspaces.find_owner(self._key)
-            is_open = route is not None and not route.requires_key
-            self._is_authorized = owner is not None or is_open
+            self._is_authorized = may_use_route(route, owner)
             workspace = owner or ""
         if workspace != self._session_state.workspace:
             # The connection of an open transaction belongs to the former workspace.
--- a/src/burdocksail/serving/_statements.py
+++ b/src/burdocksail/serving/_statements.py
@@ -30,6 +30,7 @@
 from burdocksail.serving._work import estimate_answer_time, find_kind
 from burdocksail.traffic import Obstacle
 
+TOO_LITTLE_TIME = "too little time left"
 FIRST_ATTEMPT_SHARE = 0.4  # of the statement timeout, for the first attempt of a read
 
 
@@ -186,13 +187,12 @@
     if board.get_view_for_new_work(service) != view or not may_send(request):
         pool.release(connection)
         return None
-    kind = find_kind(request.route, request.session, request.command)
-    expected = estimate_answer_time(request.serving, service, kind, pool)
+    expected = estimate_answer(request, pool)
     if expected > request.time_left:
         # Sent now, it would most likely time out, and a write with unknown outcome.
         pool.release(connection)
         request.expected_wait = expected
-        raise reject(request, "too little time left", Obstacle.OVERLOAD)
+        raise reject(request, TOO_LITTLE_TIME, Obstacle.OVERLOAD)
     in_flight = board.authority.in_flight
     in_flight[service] = in_flight.get(service, 0) + 1
     request.was_sent = True
@@ -225,6 +225,15 @@
     return _handle_primary_reply(request, view, pool, reply, writes)
 
 
+def estimate_answer(request: StatementRequest, pool: Pool) -> float:
+    """Return the expected seconds until the primary answers a statement sent now.
+
+    It is not sent if it times out before.
+    """
+    kind = find_kind(request.route, request.session, request.command)
+    return estimate_answer_time(request.serving, request.route.service, kind, pool)
+
+
 def _handle_primary_reply(
     request: StatementRequest, view: GroupView, pool: Pool, reply: Reply, writes: bool
 ) -> Reply | None:
--- a/src/burdocksail/traffic/__init__.py
+++ b/src/burdocksail/traffic/__init__.py
@@ -26,12 +26,17 @@
 from burdocksail.traffic._backoff import RetryBudget, compute_backoff
 from burdocksail.traffic._concurrency import ConcurrencyLimit
 from burdocksail.traffic._demand import Demand, estimate_use
-from burdocksail.traffic._ejection import ServerHealth, find_ejected
+from burdocksail.traffic._ejection import ServerHealth, find_ejected, judge_servers
 from burdocksail.traffic._knee import KneeEstimate
 from burdocksail.traffic._lag import LagEstimate
 from burdocksail.traffic._opening import OpeningWindow
 from burdocksail.traffic._pending import PendingWork
-from burdocksail.traffic._placement import ServerLoad, rank_by_cost
+from burdocksail.traffic._placement import (
+    CostParts,
+    ServerLoad,
+    itemize_cost,
+    rank_by_cost,
+)
 from burdocksail.traffic._rejection import Obstacle, compute_retry_after
 from burdocksail.traffic._shares import FairQueue, WaitingRequest, compute_weight
 from burdocksail.traffic._speed import SpeedEstimate
@@ -52,6 +57,7 @@
     "Batch",
     "Comparison",
     "ConcurrencyLimit",
+    "CostParts",
     "Demand",
     "DrainRate",
     "FLOOR_DELAY",
@@ -81,6 +87,8 @@
     "compute_weight",
     "estimate_use",
     "find_ejected",
+    "itemize_cost",
+    "judge_servers",
     "find_floor_start",
     "find_slot",
     "rank_by_cost",
--- a/src/burdocksail/traffic/_ejection.py
+++ b/src/burdocksail/traffic/_ejection.py
@@ -57,11 +57,22 @@
 
 
 def find_ejected(healths: Mapping[str, ServerHealth], now: float) -> set[str]:
-    """Eject the worst outlier of a service, if any, and return all that are ejected.
+    """Eject the worst outlier of a service, if any, and return all that are ejected."""
+    ejected, outlier = judge_servers(healths, now)
+    if outlier is not None:
+        healths[outlier].eject(now)
+        ejected.add(outlier)
+    return ejected
+
+
+def judge_servers(
+    healths: Mapping[str, ServerHealth], now: float
+) -> tuple[set[str], str | None]:
+    """Return the servers that are ejected, and the one that has to be ejected as well.
 
     A server is an outlier only by comparison: if all servers fail alike, the cause is
     this instance's own link or the statements. At most half of the servers are
-    ejected, and never the last one.
+    ejected, and never the last one. Changes nothing.
     """
     ejected = {name for name, health in healths.items() if now < health.ejected_until}
     judged = {
@@ -70,10 +81,8 @@
         if name not in ejected and health.results >= MIN_RESULTS
     }
     if len(judged) < 2 or 2 * (len(ejected) + 1) > len(healths):
-        return ejected
+        return ejected, None
     worst = max(judged, key=lambda name: (judged[name].failure_share, name))
     best = min(health.failure_share for health in judged.values())
-    if judged[worst].failure_share > best + EXCESS_SHARE:
-        judged[worst].eject(now)
-        ejected.add(worst)
-    return ejected
+    is_outlier = judged[worst].failure_share > best + EXCESS_SHARE
+    return ejected, worst if is_outlier else None
--- a/src/burdocksail/traffic/_placement.py
+++ b/src/burdocksail/traffic/_placement.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass
+from typing import NamedTuple
 
 # Puts a server that has just refused or failed behind the others.
 AVOIDED_PENALTY = 0.5  # seconds
@@ -49,6 +50,27 @@
     is_ejected: bool = False
 
 
+class CostParts(NamedTuple):
+    """Parts of the cost of a server, in seconds."""
+
+    round_trip: float
+    work: float
+    primary: float
+    avoided: float
+    ejected: float
+
+
+def itemize_cost(load: ServerLoad) -> CostParts:
+    """Return the parts of the expected time until the reply, penalties included."""
+    return CostParts(
+        load.round_trip,
+        load.slow_factor * (load.run_time + load.pending),
+        PRIMARY_PENALTY * load.is_primary,
+        AVOIDED_PENALTY * load.is_avoided,
+        EJECTED_PENALTY * load.is_ejected,
+    )
+
+
 def rank_by_cost(loads: Iterable[ServerLoad]) -> list[str]:
     """Return the ids of the servers that may run a read, lowest cost first.
 
@@ -56,15 +78,6 @@
     """
     loads = list(loads)
     covering = [load for load in loads if load.may_cover] or loads
-    return [load.id for load in sorted(covering, key=lambda s: (_cost(s), s.id))]
-
-
-def _cost(load: ServerLoad) -> float:
-    """Return the expected seconds until the reply, penalties included."""
-    return (
-        load.round_trip
-        + load.slow_factor * (load.run_time + load.pending)
-        + PRIMARY_PENALTY * load.is_primary
-        + AVOIDED_PENALTY * load.is_avoided
-        + EJECTED_PENALTY * load.is_ejected
-    )
+    return [
+        load.id for load in sorted(covering, key=lambda s: (sum(itemize_cost(s)), s.id))
+    ]
