--- a/src/burdocksail/agent/_instance.py
+++ b/src/burdocksail/agent/_instance.py
@@ -2,13 +2,13 @@
 
 import asyncio
 from collections.abc import Callable, Coroutine
-from typing import Any, Protocol
+from typing import TYPE_CHECKING, Any, Protocol
 
 from burdocksail.agent._logging import LineBuffer
 from burdocksail.agent._sessions import SessionRegistry
 from burdocksail.authority import AuthorityController
 from burdocksail.board import Blackboard
-from burdocksail.core import get_logger
+from burdocksail.core import CallerCommand, get_logger
 from burdocksail.fleet import (
     Address,
     Message,
@@ -27,6 +27,9 @@
     ServingContext,
 )
 
+if TYPE_CHECKING:
+    from burdocksail.core import ExplainQuery
+
 FLUSH_INTERVAL = 0.2  # seconds between flushes of the log buffer
 # Seconds until a load balancer that probes each second sends no more callers.
 ROTATION_DELAY = 2.3
@@ -278,6 +281,20 @@
             "upstreams": self._pools.describe(),
         }
 
+    def explain(self, query: "ExplainQuery", command: CallerCommand) -> dict[str, Any]:
+        """Return where a request would go now and why, as JSON values.
+
+        Nothing is sent or changed.
+        """
+        # Only operators ask, so it is not imported at the start.
+        from burdocksail.serving._explain import explain
+
+        return {
+            "instance": self.board.member.name,
+            "ready": self.is_ready,
+            **explain(self.serving, query, command),
+        }
+
     async def _end_idle_sessions(self, until: float) -> None:
         """End sessions as they become idle, until there is none or for so long."""
         while self.sessions and self.board.now() < until:
--- a/src/burdocksail/core/__init__.py
+++ b/src/burdocksail/core/__init__.py
@@ -34,6 +34,14 @@
 
 if TYPE_CHECKING:
     from burdocksail.core._clock import Clock, ManualClock, SystemClock, seconds
+    from burdocksail.core._explain import (
+        EXPLAIN_PATH,
+        ExplainCandidate,
+        ExplainError,
+        ExplainOutcome,
+        ExplainQuery,
+        parse_explain_query,
+    )
     from burdocksail.core._instances import Instance, rank_instances, weigh_instance
     from burdocksail.core._requests import (
         Answer,
@@ -55,6 +63,14 @@
 
 _DEFERRED = {
     "_clock": ("Clock", "ManualClock", "SystemClock", "seconds"),
+    "_explain": (
+        "EXPLAIN_PATH",
+        "ExplainCandidate",
+        "ExplainError",
+        "ExplainOutcome",
+        "ExplainQuery",
+        "parse_explain_query",
+    ),
     "_instances": ("Instance", "rank_instances", "weigh_instance"),
     "_requests": (
         "Answer",
@@ -88,7 +104,12 @@
     "Commit",
     "Deallocate",
     "DeferredLogger",
+    "EXPLAIN_PATH",
     "ExecutePrepared",
+    "ExplainCandidate",
+    "ExplainError",
+    "ExplainOutcome",
+    "ExplainQuery",
     "FailureKind",
     "Freshness",
     "Instance",
@@ -117,6 +138,7 @@
     "fingerprint_statement",
     "get_logger",
     "import_on_use",
+    "parse_explain_query",
     "parse_gtid_set",
     "rank_instances",
     "seconds",
--- a/src/burdocksail/serving/_choice.py
+++ b/src/burdocksail/serving/_choice.py
@@ -1,12 +1,14 @@
 """Choice of the server for a statement, and the wait until one can run it."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from operator import itemgetter
 
 from burdocksail.board import GroupState, GroupView
-from burdocksail.catalog import Upstream
+from burdocksail.catalog import Route, Upstream
 from burdocksail.core import FailureKind
-from burdocksail.serving._freshness import compute_floor
+from burdocksail.serving._context import ServingContext
+from burdocksail.serving._freshness import Floor, compute_floor
 from burdocksail.serving._pools import Forecast, Pool, PooledConnection
 from burdocksail.serving._replies import CommandFailed
 from burdocksail.serving._requests import StatementRequest, reject
@@ -154,64 +156,75 @@
     """
     board = request.board
     while True:
-        floor = compute_floor(
-            board, request.route, request.session.commits, request.arrived_at
-        )
-        if floor is None:
+        plan = plan_read(request, rank_servers)
+        if plan.floor is None:
             _, pool = await wait_for_primary(request)
             return pool
-        ranked = rank_servers(request.serving, request.route, floor)
-        untried = [u for u in ranked if u.id not in request.tried_ids]
-        if untried and request.serving.has_workspaces:
-            return _choose_by_wait(request, untried)
-        if untried:
-            return request.serving.pools.get(untried[0])
+        if plan.pool is not None:
+            if plan.excess > 0:
+                workspace = request.session.workspace
+                request.expected_wait = plan.pool.assign_return(workspace, plan.excess)
+                raise reject(request, QUEUES_TOO_LONG, Obstacle.OVERLOAD)
+            return plan.pool
         request.tried_ids.clear()
         if board.now() >= request.retry_deadline:
             raise reject(request, request.last_error, request.obstacle)
         await board.changed.wait(POLL_INTERVAL)
 
 
-def _choose_by_wait(request: StatementRequest, ranked: list[Upstream]) -> Pool:
-    """Return the pool of the first server with a short queue, else the shortest one.
-
-    Raises
-    ------
-    CommandFailed
-        If every queue takes longer than the statement can wait.
-    """
-    choice = find_short_queue(
-        request, [request.serving.pools.get(upstream) for upstream in ranked]
-    )
-    if choice.excess > 0:
-        workspace = request.session.workspace
-        request.expected_wait = choice.pool.assign_return(workspace, choice.excess)
-        raise reject(request, QUEUES_TOO_LONG, Obstacle.OVERLOAD)
-    return choice.pool
-
-
 @dataclass(frozen=True, slots=True)
-class QueueChoice:
-    """The server whose queue a read joins.
+class ReadPlan:
+    """Where a read goes now.
 
     Attributes
     ----------
+    floor : Floor or None
+        None if it is unknown; then the read has to go to the primary.
+    pool : Pool or None
+        Pool of the chosen server; None if no server is left to try.
     excess : float
         Seconds by which every queue takes longer than the read can wait; the read is
         rejected if that is above 0.
     """
 
-    pool: Pool
+    floor: Floor | None
+    pool: Pool | None = None
     excess: float = 0.0
 
 
-def find_short_queue(request: StatementRequest, pools: list[Pool]) -> QueueChoice:
-    """Return the first pool with a short queue, else the shortest; changes nothing.
+def plan_read(
+    request: StatementRequest,
+    rank: Callable[[ServingContext, Route, Floor], list[Upstream]],
+) -> ReadPlan:
+    """Return where a read goes now; changes nothing but what `rank` does.
 
     Parameters
     ----------
-    pools : list of Pool
-        Those of the servers that may run the read, lowest cost first.
+    rank : callable
+        Returns the servers that may run the read, lowest cost first.
+    """
+    serving = request.serving
+    floor = compute_floor(
+        request.board, request.route, request.session.commits, request.arrived_at
+    )
+    if floor is None:
+        return ReadPlan(None)
+    ranked = rank(serving, request.route, floor)
+    untried = [u for u in ranked if u.id not in request.tried_ids]
+    if not untried:
+        return ReadPlan(floor)
+    if not serving.has_workspaces:
+        return ReadPlan(floor, serving.pools.get(untried[0]))
+    pools = [serving.pools.get(upstream) for upstream in untried]
+    return ReadPlan(floor, *_find_short_queue(request, pools))
+
+
+def _find_short_queue(
+    request: StatementRequest, pools: list[Pool]
+) -> tuple[Pool, float]:
+    """Return the first pool with a short queue, else the shortest one.
+
+    Also the seconds by which that takes longer than the statement can wait.
     """
     workspace, level = request.session.workspace, request.route.priority
     now = request.board.now()
@@ -221,12 +234,12 @@
     usable = [w for w in waits if w[1].statistics.avoid_until <= now] or waits
     for wait, pool in usable:
         if wait <= limit:
-            return QueueChoice(pool)
+            return pool, 0.0
     left = request.retry_deadline - now
     shortest, pool = min(usable, key=itemgetter(0))
     if shortest > left:
         shortest, pool = min(waits, key=itemgetter(0))
-    return QueueChoice(pool, max(0.0, shortest - left))
+    return pool, max(0.0, shortest - left)
 
 
 async def acquire_for_read(request: StatementRequest, pool: Pool) -> PooledConnection:
--- a/src/burdocksail/serving/_context.py
+++ b/src/burdocksail/serving/_context.py
@@ -1,10 +1,11 @@
 """State of a caller's session, and what all sessions of an instance share."""
 
+import copy
 import random
 from collections import defaultdict
 from dataclasses import dataclass, field
 
-from burdocksail.board import Blackboard
+from burdocksail.board import Blackboard, Metrics
 from burdocksail.catalog import Route
 from burdocksail.serving._allowances import AllowanceHolder
 from burdocksail.serving._decisions import DecisionLog
@@ -89,6 +90,27 @@
         catalog = self.board.catalog.catalog
         return catalog is not None and catalog.workspaces is not None
 
+    def make_preview(self, workspace: str) -> "ServingContext":
+        """Return a context that knows the same, for decisions that are not acted on.
+
+        What decisions write (metrics, retry budget, random state, run times that are
+        not known yet, new pools, tokens) is of its own and goes with it. It holds the
+        tokens of one workspace.
+        """
+        # Only `explain` needs it, so it is not imported at the start.
+        from burdocksail.serving._allowance_preview import copy_allowances
+
+        preview = copy.copy(self)
+        preview.board = copy.copy(self.board)
+        preview.board.metrics = Metrics()
+        preview.pools = self.pools.make_preview()
+        preview.allowances = copy_allowances(self.allowances, preview.board, workspace)
+        preview.retry_budget = RetryBudget()
+        preview.work_times = self.work_times.copy()
+        preview.random = random.Random(0)
+        preview._run_times = self._run_times.copy()
+        return preview
+
     def get_run_time(self, route: Route) -> RunTime:
         """Return the usual run time of the statements of a route."""
         return self._run_times[route.name]
--- a/src/burdocksail/serving/_pools.py
+++ b/src/burdocksail/serving/_pools.py
@@ -41,12 +41,20 @@
             pool = self._pools[upstream.id] = self._make(upstream)
         return pool
 
-    def peek(self, upstream: Upstream) -> Pool:
-        """Return the pool that `get` would return, and change nothing.
+    def make_preview(self) -> "ConnectionPools":
+        """Return the same pools, in a collection whose changes concern nobody.
 
-        A pool that does not exist yet is made, but not kept.
+        A pool that does not exist yet is made there, and one of a replaced server is
+        not closed.
         """
-        return self._find(upstream) or self._make(upstream)
+        preview = ConnectionPools(self._board, self._connector)
+        preview._pools = {
+            name: pool
+            for name, pool in self._pools.items()
+            if (found := self._board.directory.upstreams.get(name)) is not None
+            and self._find(found) is pool
+        }
+        return preview
 
     def _find(self, upstream: Upstream) -> Pool | None:
         """Return the pool of a server, None if it has none that is in use."""
