--- a/src/burdocksail/node/_entry.py
+++ b/src/burdocksail/node/_entry.py
@@ -65,7 +65,7 @@
 FORWARD_CANDIDATES = 5  # instances tried in turn while the leader is unknown
 STOP_GRACE = seconds(5)  # after it, only open transactions may continue
 
-_ENDING_KINDS = (StatementKind.COMMIT, StatementKind.ROLLBACK)
+ENDING_KINDS = (StatementKind.COMMIT, StatementKind.ROLLBACK)
 
 
 def handle_session_opened(board: Blackboard, event: SessionOpened) -> None:
@@ -314,7 +314,7 @@
 def _start_request(board: Blackboard, session: Session, request: Request) -> None:
     """Submit a request according to the session's transaction state."""
     kind = request.kind
-    if session.transaction_failed and kind not in _ENDING_KINDS:
+    if session.transaction_failed and kind not in ENDING_KINDS:
         message = "the transaction was lost; end it by ROLLBACK"
         answer = Answer(
             Outcome.NOT_RUN, error=AnswerError.TRANSACTION_LOST, message=message
@@ -324,7 +324,7 @@
     if session.transaction_group:
         _submit_in_transaction(board, session, request)
         return
-    if kind in _ENDING_KINDS:
+    if kind in ENDING_KINDS:
         _answer_end_without_transaction(board, session, request)
         return
     if kind is StatementKind.WRITE and not session.autocommit:
@@ -571,7 +571,7 @@
         return
     if not request.in_transaction:
         return
-    if request.kind in _ENDING_KINDS:
+    if request.kind in ENDING_KINDS:
         session.transaction_group = ""
         session.transaction_leader = None
         return
--- a/src/burdocksail/node/_node.py
+++ b/src/burdocksail/node/_node.py
@@ -11,7 +11,7 @@
 from datetime import timedelta
 from functools import singledispatch
 
-from burdocksail.core import Clock, Instance, seconds
+from burdocksail.core import Clock, ExplainQuery, Instance, seconds
 from burdocksail.node import (
     _acceptance,
     _admission,
@@ -50,6 +50,7 @@
     UpstreamClosed,
     UpstreamConnected,
 )
+from burdocksail.node._explain import explain
 from burdocksail.node._groups import GroupRuntime
 from burdocksail.node._messages import (
     AskLease,
@@ -120,6 +121,13 @@
         """Return the node's state as JSON values, without secrets."""
         return dump_board(self.board)
 
+    def explain(self, query: ExplainQuery) -> dict:
+        """Return where a request would go now and why, as JSON values.
+
+        Nothing is sent or changed.
+        """
+        return explain(self.board, query)
+
     def _start_replica_waits(self) -> None:
         waiting_groups = self.board.work.groups_awaiting_replica
         while waiting_groups:
--- a/src/burdocksail/shell/_process.py
+++ b/src/burdocksail/shell/_process.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 from functools import singledispatchmethod
 
-from burdocksail.core import Instance, SystemClock
+from burdocksail.core import ExplainQuery, Instance, SystemClock
 from burdocksail.intake import CallerLimits, Intake
 from burdocksail.node import (
     TICK_INTERVAL,
@@ -220,6 +220,11 @@
             "limits_reached": dict(self._limit_counts),
         }
 
+    def explain(self, query: ExplainQuery) -> dict:
+        """Return where a request would go now and why; nothing is sent or changed."""
+        assert self.node is not None
+        return {"ready": self.is_ready(), **self.node.explain(query)}
+
     def _make_session(self) -> CallerSession:
         return CallerSession(self, self._replies, self.instance.key)
 
--- a/src/burdocksail/shell/_status_server.py
+++ b/src/burdocksail/shell/_status_server.py
@@ -8,6 +8,12 @@
 
 from aiohttp import web
 
+from burdocksail.core import (
+    EXPLAIN_PATH,
+    ExplainError,
+    ExplainQuery,
+    parse_explain_query,
+)
 from burdocksail.intake import Account, Closing, Intake, Kind
 
 # Probes ask each second; the library sets no limit on a connection's first request.
@@ -87,9 +93,13 @@
         """Return whether the load balancer should route callers to this instance."""
         ...
 
+    def explain(self, query: ExplainQuery) -> dict[str, Any]:
+        """Return where a request would go now and why, as JSON-compatible values."""
+        ...
+
 
 class StatusServer:
-    """Serves ``/dump``, ``/metrics`` and ``/ready``."""
+    """Serves ``/dump``, ``/explain``, ``/metrics`` and ``/ready``."""
 
     def __init__(self, source: StatusSource, intake: Intake):
         self._source = source
@@ -101,6 +111,7 @@
         """Start to listen and return the port, which the system picks for port 0."""
         application = web.Application()
         application.router.add_get("/dump", self._dump)
+        application.router.add_get(EXPLAIN_PATH, self._explain)
         application.router.add_get("/metrics", self._metrics)
         application.router.add_get("/ready", self._ready)
         self._runner = web.AppRunner(
@@ -126,6 +137,13 @@
     async def _dump(self, request: web.Request) -> web.Response:
         return web.json_response(self._source.dump())
 
+    async def _explain(self, request: web.Request) -> web.Response:
+        try:
+            query = parse_explain_query(request.rel_url.raw_query_string)
+        except ExplainError as error:
+            return web.json_response({"error": str(error)}, status=400)
+        return web.json_response(self._source.explain(query))
+
     async def _metrics(self, request: web.Request) -> web.Response:
         state = self._source.dump()
         names = ("counters", "latencies", "callers", "limits_reached")
