--- a/src/burdocksail/fakes/__init__.py
+++ b/src/burdocksail/fakes/__init__.py
@@ -15,6 +15,7 @@
 )
 from burdocksail.fakes._scenarios import run_scenario, time_until_written, write
 from burdocksail.fakes._servers import MemoryConnector, MemoryDatabase, MemoryServer
+from burdocksail.fakes._state import capture_state
 from burdocksail.fakes._store import MemoryStore, MemoryStoreClient
 from burdocksail.fakes._virtual_loop import (
     LoopClock,
@@ -40,6 +41,7 @@
     "ServerCapacity",
     "VirtualLoop",
     "WorkspaceRecord",
+    "capture_state",
     "make_catalog",
     "run_in_virtual_time",
     "run_scenario",
--- a/src/burdocksail/serving/explain_test.py
+++ b/src/burdocksail/serving/explain_test.py
@@ -1,11 +1,8 @@
 """Explained requests: they go where the next request goes, and leave no trace."""
 
 import asyncio
-import random
 import unittest
-from collections.abc import Mapping
 from dataclasses import replace
-from types import FunctionType, MethodType
 
 from burdocksail.catalog import ReadPolicy, Workspace, Workspaces, digest_key
 from burdocksail.core import Begin, ExplainQuery, FailureKind, LogPosition, Run
@@ -13,6 +10,7 @@
     BOUNDS,
     SERVICE,
     Fleet,
+    capture_state,
     make_catalog,
     run_in_virtual_time,
     silence_logs,
@@ -24,37 +22,12 @@
 READ = Run("r", "READ", False)
 WRITE = Run("w", "WRITE", True)
 NAME = "instance-1"
-OPAQUE = (asyncio.Task, asyncio.Future, asyncio.AbstractEventLoop, type)
 
 
 def setUpModule():
     silence_logs()
 
 
-def capture(value, seen: dict | None = None):
-    """Return the state of an object and of all that it refers to, for comparison."""
-    seen = {} if seen is None else seen
-    if value is None or isinstance(value, str | bytes | int | float):
-        return value
-    if isinstance(value, OPAQUE) or id(value) in seen:
-        return id(value)
-    seen[id(value)] = value
-    if isinstance(value, random.Random):
-        return value.getstate()
-    if isinstance(value, FunctionType | MethodType):
-        return id(value) if isinstance(value, FunctionType) else 0
-    if isinstance(value, Mapping):
-        return [(capture(k, seen), capture(v, seen)) for k, v in value.items()]
-    if isinstance(value, set | frozenset):
-        return sorted(map(repr, value))
-    if hasattr(value, "__iter__") and hasattr(value, "__len__"):
-        return [capture(item, seen) for item in value]
-    names = [*getattr(value, "__dict__", ())]
-    for parent in type(value).__mro__:
-        names += parent.__dict__.get("__slots__", ())
-    return [(n, capture(getattr(value, n, None), seen)) for n in sorted(set(names))]
-
-
 def run_fleet(scenario, workspaces: Workspaces | None = None) -> None:
     async def run() -> None:
         fleet = Fleet(quota_bounds=BOUNDS)
@@ -77,10 +50,10 @@
     def explain(self, fleet: Fleet, policy: ReadPolicy, command=READ, **query) -> dict:
         """Return the explanation, after a check that giving it has changed nothing."""
         instance = fleet.instances[NAME]
-        before = capture([instance.board, instance.serving])
+        before = capture_state([instance.board, instance.serving])
         question = ExplainQuery(policy.value, "not shown", **query)
         answer = instance.explain(question, command)
-        self.assertEqual(capture([instance.board, instance.serving]), before)
+        self.assertEqual(capture_state([instance.board, instance.serving]), before)
         self.assertNotIn(KEY, str(answer))
         return answer
 
@@ -90,9 +63,9 @@
         """Explain a request, send it, and compare where it goes or why it does not."""
         session = CallerSession(fleet.instances[NAME].serving, policy.value, key)
         answer = self.explain(fleet, policy, command, **query)
-        before = capture([fleet.instances[NAME].serving])
+        before = capture_state([fleet.instances[NAME].serving])
         reply = await session.execute(command)
-        self.assertNotEqual(capture([fleet.instances[NAME].serving]), before)
+        self.assertNotEqual(capture_state([fleet.instances[NAME].serving]), before)
         outcome = answer["outcome"]
         if reply.failure_kind is not None:
             self.assertEqual(outcome["result"], "refused", answer)
