--- a/src/burdocksail/node/_explain.py
+++ b/src/burdocksail/node/_explain.py
@@ -36,10 +36,12 @@
     token that holds it.
     """
     preview = _make_preview(board)
+    is_known = query.workspace in preview.configuration.service_of_account
     answer: dict[str, Any] = {
         "instance": preview.me.name,
         "database": query.database,
-        "workspace": query.workspace,
+        # A name that is not configured may be a misplaced password.
+        "workspace": query.workspace if is_known else None,
         "quota": {"limited": False},
     }
     service = preview.configuration.service_of_database.get(query.database)
--- a/src/burdocksail/serving/_explain.py
+++ b/src/burdocksail/serving/_explain.py
@@ -61,7 +61,8 @@
     route = preview.find_route(query.database)
     answer: dict[str, Any] = {
         "database": query.database,
-        "workspace": query.workspace,
+        # A name that is not configured may be a misplaced key and is not repeated.
+        "workspace": _find_workspace(preview, query),
         "known": _describe_known(preview, route),
     }
     if route is None:
--- a/src/burdocksail/serving/explain_test.py
+++ b/src/burdocksail/serving/explain_test.py
@@ -196,7 +196,7 @@
             session = fleet.session(NAME, ReadPolicy.STATED_AGE, "another")
             reply = await session.execute(READ)
             self.assertIs(reply.failure_kind, FailureKind.DENIED)
-            for name in ("", "nobody"):
+            for name in ("", KEY):
                 outcome = self.explain(fleet, ReadPolicy.STATED_AGE, workspace=name)[
                     "outcome"
                 ]
--- a/src/burdocksail/tools/_explain.py
+++ b/src/burdocksail/tools/_explain.py
@@ -67,7 +67,10 @@
 
 
 def _make_candidates_table(candidates: list[Mapping[str, Any]]) -> Table:
-    table = Table("server", "for", "against", "cost, ms", "load")
+    """Return one row for each server; the numbers that are 0 are only in the JSON."""
+    table = Table(show_lines=True)
+    for header in ("server", "for", "against", "cost, ms", "load"):
+        table.add_column(header, overflow="fold")
     for candidate in candidates:
         mark = " (primary)" if candidate["primary"] else ""
         load = {n: v for n, v in candidate.items() if n not in NAMED_FIELDS}
@@ -75,12 +78,17 @@
             candidate["server"] + mark,
             "; ".join(candidate["for"]),
             "; ".join(candidate["against"]),
-            _format(candidate.get("cost_ms")),
-            _format(load),
+            _format_lines(candidate.get("cost_ms") or {}),
+            _format_lines(load),
         )
     return table
 
 
+def _format_lines(values: Mapping[str, Any]) -> str:
+    """Return the fields that are not 0, one on each line."""
+    return "\n".join(f"{n}={_format(v)}" for n, v in values.items() if v)
+
+
 def _format(value: Any) -> str:
     """Return a value on one line; fields without a value are left out."""
     if isinstance(value, Mapping):
--- a/src/burdocksail/tools/tools_test.py
+++ b/src/burdocksail/tools/tools_test.py
@@ -5,6 +5,7 @@
 """
 
 import io
+import socket
 import sys
 import unittest
 from contextlib import redirect_stderr, redirect_stdout
@@ -62,6 +63,27 @@
         self.assertIn("--host", errors)
 
 
+class ExplainTest(unittest.TestCase):
+    def test_instance_that_cannot_be_asked_is_told_in_one_line(self):
+        """The statement may hold data, and must not come back in the error."""
+        with socket.socket() as bound, socket.socket() as silent:
+            bound.bind(("127.0.0.1", 0))  # It does not listen.
+            silent.bind(("127.0.0.1", 0))
+            silent.listen()  # It accepts and never answers.
+            for server in (bound, silent):
+                address = "{}:{}".format(*server.getsockname())
+                status, output, errors = run(["explain", address, "db", "READ secret"])
+                self.assertEqual((status, output), (1, ""))
+                self.assertIn(f"{address} cannot be asked", errors)
+                self.assertNotIn("secret", errors)
+                self.assertEqual(len(errors.strip().splitlines()), 1)
+
+    def test_no_option_takes_a_key(self):
+        status, _, errors = run(["explain", "127.0.0.1:1", "db", "READ", "--key", "k"])
+        self.assertEqual(status, 2)
+        self.assertNotIn("cannot be asked", errors)
+
+
 class SlopeTest(unittest.TestCase):
     def test_poor_fit_is_an_error(self):
         with self.assertRaises(FitError):
