Free the messages of lost connections at once

test_unfinished_messages of the MySQL path failed on this machine with 157 MB of 128. The memory was taken after the crowd had gone: 92 MB were in the buffers of readers whose connections were lost and whose accounts were closed. Reader, account, protocol and transport refer to each other, and the garbage collector, which counts objects and not bytes, came later. Each waiting connection got the room of the one before, so that every caller left its message. Statements being served left theirs in the same way: the error of the connection was kept by the reader and by futures of asyncio, and the error kept the frames that it had passed.

- The reader drops its buffer when the connection is lost or closed, or not served any more.
- No object keeps the error of a connection after it has been raised.
- The room of a message that is being served counts until it is served, also when the connection has been lost; such connections are not closed to relieve pressure, as that would free nothing.

--- a/src/burdocksail/intake/_ledger.py
+++ b/src/burdocksail/intake/_ledger.py
@@ -159,8 +159,24 @@
         self._watch(account, Phase.GREETING)
         return account
 
+    def disconnect(self, account: Account) -> None:
+        """Record that a connection is lost; `remove` follows once it is not served.
+
+        The copies of a message that is being served stay until then, and so does its
+        room.
+        """
+        if account.is_closed:
+            return
+        is_served = account.phase is None
+        self._drop_requests(account)
+        self._unwatch(account)
+        self.set_output(account, 0)
+        if not is_served:
+            self.end_request(account)
+        self._grant()
+
     def remove(self, account: Account) -> None:
-        """Forget a connection that has ended."""
+        """Forget a connection that has ended and is not served any more."""
         if account.is_closed:
             return
         account.is_closed = True
@@ -169,10 +185,7 @@
         self.counts[account.kind] -= 1
         self._accounts.pop(account, None)
         self._watched.pop(account, None)
-        if any(request.account is account for request in self._requests):
-            self._requests = deque(
-                r for r in self._requests if r.account is not account
-            )
+        self._drop_requests(account)
         self._grant()
 
     def get_read_ahead(self) -> float:
@@ -354,6 +367,12 @@
             if not account.is_closed:
                 request.answer(True)
 
+    def _drop_requests(self, account: Account) -> None:
+        if any(request.account is account for request in self._requests):
+            self._requests = deque(
+                r for r in self._requests if r.account is not account
+            )
+
     def _refuse_requests(self) -> None:
         limit = self._now() - self.limits.room_wait_s
         while self._requests and self._requests[0].asked_at < limit:
@@ -388,8 +407,15 @@
             self._close(account, Closing.HELD_BYTES)
 
     def _rank_holders(self) -> Iterable[Account]:
-        """Return who holds bytes; the first to be closed come first."""
-        holders = [account for account in self._accounts if account.held]
+        """Return who holds bytes; the first to be closed come first.
+
+        Closing a connection whose large message is being served would free nothing.
+        """
+        holders = [
+            account
+            for account in self._accounts
+            if account.held and (account.phase or not account.reserved_bytes)
+        ]
         return sorted(
             holders,
             key=lambda a: (a.phase is None, a.rate if a.phase else 0.0, -a.held),
--- a/src/burdocksail/intake/_listeners.py
+++ b/src/burdocksail/intake/_listeners.py
@@ -140,6 +140,7 @@
         self._budgeted: BudgetedReader | None = None
         self._account: Account | None = None
         self._lingers = False
+        self._is_lost = False
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         super().connection_made(transport)
@@ -163,6 +164,7 @@
         self._account, self._budgeted = account, reader
         writer = asyncio.StreamWriter(transport, self, reader, self._loop)
         self._task = self._loop.create_task(self._listener.serve(reader, writer))
+        self._task.add_done_callback(self._finish)
 
     def get_buffer(self, sizehint: int) -> memoryview:
         size = LARGE_CHUNK_BYTES
@@ -181,6 +183,7 @@
         return True
 
     def connection_lost(self, exc: Exception | None) -> None:
+        self._is_lost = True
         if self._lingers:
             self._lingers = False
             self._intake.lingering -= 1
@@ -189,8 +192,18 @@
                 self._budgeted.feed_eof()
             else:
                 self._budgeted.set_exception(exc)
+            self._budgeted.lose()
+            self._intake.ledger.disconnect(self._account)
+            if self._task.done():
+                self._intake.ledger.remove(self._account)
+        # With the error, a future would keep it, and it the frames that it passes.
+        super().connection_lost(None)
+
+    def _finish(self, task: asyncio.Task) -> None:
+        """Drop what the connection holds once nobody serves it any more."""
+        self._budgeted.discard()
+        if self._is_lost:
             self._intake.ledger.remove(self._account)
-        super().connection_lost(exc)
 
     def _refuse(self, transport: asyncio.Transport) -> None:
         """Tell a caller that it is turned away, and close its connection."""
@@ -209,6 +222,7 @@
         transport = self._transport
         if transport is None:
             return
+        self._budgeted.discard()
         if closing is Closing.CONNECTIONS and not transport.get_write_buffer_size():
             transport.write(self._listener.refusal)
             transport.close()
--- a/src/burdocksail/intake/_readers.py
+++ b/src/burdocksail/intake/_readers.py
@@ -1,6 +1,7 @@
 """Reader of one connection that buffers little, and asks for room for more."""
 
 import asyncio
+import copy
 
 from burdocksail.intake._ledger import SMALL_MESSAGE, Account, Ledger
 
@@ -49,12 +50,17 @@
         self._awaits_room = False
         self._was_denied = False
         self._has_ended = False
+        self._is_lost = False
         self._error: Exception | None = None
         self._own_transport: asyncio.Transport | None = None
 
-    def exception(self) -> Exception | None:
-        """Return the error of the connection, None without one."""
-        return self._error
+    def exception(self) -> None:
+        """Return None: errors of the connection are raised by the reader only.
+
+        `StreamWriter.drain` raises what this returns, and its frame refers to the
+        exception, which refers to the frames that it has passed and to the message
+        served there. These would stay until the garbage collector runs.
+        """
 
     def set_exception(self, exc: Exception) -> None:
         """Record the error of the connection."""
@@ -71,6 +77,22 @@
         self._has_ended = True
         self._wake()
 
+    def lose(self) -> None:
+        """Record that the connection is lost, and drop what has been read."""
+        self._is_lost = True
+        self.discard()
+
+    def discard(self) -> None:
+        """Drop what has been read, which nobody will consume.
+
+        The reader, its account and its protocol refer to each other. Without this,
+        the input of a lost connection would stay until the garbage collector runs.
+        """
+        self._data = bytearray()
+        self._scanned = 0
+        self._ledger.set_input(self.account, 0)
+        self.feed_eof()
+
     def at_eof(self) -> bool:
         """Return whether the input has ended and all of it is consumed."""
         return self._has_ended and not self._data
@@ -147,7 +169,7 @@
             self._resume()
             await self._suspend()
         if self._error is not None:
-            raise self._error
+            raise copy.copy(self._error)
         return self._take(min(n, len(self._data)))
 
     def expect(self, size: int) -> None:
@@ -163,12 +185,20 @@
             self._ask(size)
 
     async def deliver(self, writer: asyncio.StreamWriter, unsent: int) -> None:
-        """Wait until the caller has taken the `unsent` bytes of its answer."""
+        """Wait until the caller has taken the `unsent` bytes of its answer.
+
+        Raises
+        ------
+        ConnectionError
+            If the connection is lost before.
+        """
         self._ledger.begin_delivery(self.account, unsent)
         try:
             await writer.drain()
         finally:
             self._ledger.end_delivery(self.account)
+        if self._is_lost:
+            raise ConnectionResetError("the connection is lost")
 
     def end_request(self) -> None:
         """Give back the room of the last message, whose answer has been taken."""
@@ -189,7 +219,7 @@
         if self._was_denied:
             raise RoomDenied(b"", wanted)
         if self._error is not None:
-            raise self._error
+            raise copy.copy(self._error)
         if self._has_ended:
             raise asyncio.IncompleteReadError(bytes(self._data[:100]), wanted)
         if self._data:
--- a/src/burdocksail/shell/_sql_server.py
+++ b/src/burdocksail/shell/_sql_server.py
@@ -219,6 +219,7 @@
             self.protocol_errors += 1
         finally:
             del self.connections[connection.connection_id]
+            stream.discard()
             writer.close()
 
 
@@ -449,6 +450,14 @@
         self.has_ended_packet = False
         return True
 
+    def discard(self) -> None:
+        """Drop a packet that has not been read.
+
+        The connection is in a cycle of references, so that the garbage collector
+        would free the packet much later.
+        """
+        self._next_packet = None
+
     async def read(self) -> bytes:
         if not self._is_prefetching:
             return await self._read_packet()
