--- a/src/burdocksail/intake/__init__.py
+++ b/src/burdocksail/intake/__init__.py
@@ -4,6 +4,7 @@
 and the reports are built on it.
 """
 
+from burdocksail.intake._allocator import return_large_blocks
 from burdocksail.intake._ledger import Account, Closing, Kind, Ledger
 from burdocksail.intake._limits import (
     CallerLimits,
@@ -28,4 +29,5 @@
     "derive_limits",
     "flush",
     "override_limits",
+    "return_large_blocks",
 ]
--- a/src/burdocksail/shell/_process.py
+++ b/src/burdocksail/shell/_process.py
@@ -8,7 +8,7 @@
 from functools import singledispatchmethod
 
 from burdocksail.core import Instance, SystemClock
-from burdocksail.intake import CallerLimits, Intake
+from burdocksail.intake import CallerLimits, Intake, return_large_blocks
 from burdocksail.node import (
     TICK_INTERVAL,
     CallStore,
@@ -112,6 +112,7 @@
     async def start(self) -> None:
         """Open all ports and start the node."""
         settings = self._settings
+        return_large_blocks()
         peer_port = await self._peers.start(settings.host, settings.peer_port)
         self.instance = Instance(
             self.instance.name,
