Move the measure of the start out of the product, and share the end of explanations

Both modules that explain requests ended their answers with the same function; it is core's complete_answer.

--- a/benchmarks/measures.py
+++ b/benchmarks/measures.py
@@ -8,10 +8,10 @@
 import statistics
 from pathlib import Path
 
+import startup_cost as startup
 import typer
 
 from burdocksail.tools import _measures as measures
-from burdocksail.tools import _startup as startup
 
 DEPLOYMENTS = (measures.LUMILINNA, measures.TALLAPOOSA)
 
--- a/src/burdocksail/core/__init__.py
+++ b/src/burdocksail/core/__init__.py
@@ -40,6 +40,7 @@
         ExplainError,
         ExplainOutcome,
         ExplainQuery,
+        complete_answer,
         parse_explain_query,
     )
     from burdocksail.core._instances import Instance, rank_instances, weigh_instance
@@ -69,6 +70,7 @@
         "ExplainError",
         "ExplainOutcome",
         "ExplainQuery",
+        "complete_answer",
         "parse_explain_query",
     ),
     "_instances": ("Instance", "rank_instances", "weigh_instance"),
@@ -110,6 +112,7 @@
     "ExplainError",
     "ExplainOutcome",
     "ExplainQuery",
+    "complete_answer",
     "FailureKind",
     "Freshness",
     "Instance",
--- a/src/burdocksail/core/_explain.py
+++ b/src/burdocksail/core/_explain.py
@@ -164,3 +164,13 @@
     if not 0 <= age <= MAX_POSITION_AGE:
         raise ExplainError("position_age_s: is out of range")
     return age
+
+
+def complete_answer(
+    answer: dict[str, Any],
+    outcome: ExplainOutcome,
+    candidates: list[ExplainCandidate] | None = None,
+) -> dict[str, Any]:
+    """Return an answer with its candidates and its outcome, as JSON values."""
+    described = [candidate.describe() for candidate in candidates or []]
+    return {**answer, "candidates": described, "outcome": outcome.describe()}
--- a/src/burdocksail/node/_explain.py
+++ b/src/burdocksail/node/_explain.py
@@ -16,6 +16,7 @@
     Request,
     StatementKind,
     TokenError,
+    complete_answer,
 )
 from burdocksail.node import _admission, _entry, _lease, _routing, _work
 from burdocksail.node._board import Blackboard, PendingRequest, Session
@@ -46,7 +47,9 @@
     }
     service = preview.configuration.service_of_database.get(query.database)
     if service is None:
-        return _answer(answer, ExplainOutcome("refused", reason="unknown database"))
+        return complete_answer(
+            answer, ExplainOutcome("refused", reason="unknown database")
+        )
     group = service.databases[query.database]
     answer["route"] = {
         "service": service.name,
@@ -66,13 +69,15 @@
     )
     outcome = _find_early_outcome(preview, session, event)
     if outcome is not None:
-        return _answer(answer, outcome)
+        return complete_answer(answer, outcome)
     request = _entry.build_request(preview, session, event, session.options)
     answer["statement"] = request.kind.value
     if request.kind in _entry.ENDING_KINDS:
-        return _answer(answer, ExplainOutcome("local", reason="no transaction is open"))
+        return complete_answer(
+            answer, ExplainOutcome("local", reason="no transaction is open")
+        )
     outcome, candidates = _follow(preview, request)
-    return _answer(answer, outcome, candidates)
+    return complete_answer(answer, outcome, candidates)
 
 
 def _make_preview(board: Blackboard) -> Blackboard:
@@ -212,15 +217,6 @@
     }
 
 
-def _answer(
-    answer: dict[str, Any],
-    outcome: ExplainOutcome,
-    candidates: list[ExplainCandidate] | None = None,
-) -> dict[str, Any]:
-    described = [candidate.describe() for candidate in candidates or []]
-    return {**answer, "candidates": described, "outcome": outcome.describe()}
-
-
 def _measure_age(board: Blackboard, at: timedelta | None) -> float | None:
     return None if at is None else _to_ms(board.now - at)
 
--- a/src/burdocksail/serving/_explain.py
+++ b/src/burdocksail/serving/_explain.py
@@ -18,6 +18,7 @@
     ExplainQuery,
     FailureKind,
     Run,
+    complete_answer,
 )
 from burdocksail.serving._budget import compute_budget
 from burdocksail.serving._choice import (
@@ -68,7 +69,7 @@
     if route is None:
         has_catalog = preview.board.catalog.catalog is not None
         reason = "unknown database" if has_catalog else "there is no configuration yet"
-        return _answer(answer, ExplainOutcome("refused", reason=reason))
+        return complete_answer(answer, ExplainOutcome("refused", reason=reason))
     answer["route"] = _describe_route(preview, route)
     session = SessionState(workspace=_find_workspace(preview, query) or "")
     if query.position is not None:
@@ -80,7 +81,7 @@
         )
     if not isinstance(command, Run):
         reason = "the session answers it, and a transaction picks its server later"
-        return _answer(answer, ExplainOutcome("local", reason=reason))
+        return complete_answer(answer, ExplainOutcome("local", reason=reason))
     request = StatementRequest(preview, route, session, command)
     return _Explanation(request, query).describe(answer)
 
@@ -122,7 +123,7 @@
             self._describe_candidate(upstream)
             for upstream in self._board.directory.of_service(request.route.service)
         ]
-        return _answer(answer, outcome, candidates)
+        return complete_answer(answer, outcome, candidates)
 
     def _find_floor(self) -> Floor | None:
         request = self._request
@@ -379,15 +380,6 @@
     }
 
 
-def _answer(
-    answer: dict[str, Any],
-    outcome: ExplainOutcome,
-    candidates: list[ExplainCandidate] | None = None,
-) -> dict[str, Any]:
-    described = [candidate.describe() for candidate in candidates or []]
-    return {**answer, "candidates": described, "outcome": outcome.describe()}
-
-
 def _measure_age(now: float, at: float | None) -> float | None:
     return None if at is None else _to_ms(now - at)
 
