--- a/review/standins_2/databases.py
+++ b/review/standins_2/databases.py
@@ -12,6 +12,7 @@
 LAG = 0.008  # seconds
 LINE_LIMIT = (1 << 20) + 2
 PROMOTE_TIME = 0.6  # seconds
+EXPIRY = 3.6  # seconds without a heartbeat until the store removes an entry
 LINES_AT_ONCE = 1000  # written before the socket is waited for
 
 
@@ -44,6 +45,7 @@
         self.group, self.name, self.zone = group, name, zone
         self.host, self.port = host, port
         self.is_primary = False
+        self.is_running = False
         self.state = "ready"
         self.term = 1
         self.log: list[tuple[int, int]] = [(1, 0)]
@@ -75,12 +77,14 @@
 
     async def open(self) -> None:
         """Listen on the server's address."""
+        self.is_running = True
         self._listener = await asyncio.start_server(
             self._serve, self.host, self.port, limit=LINE_LIMIT
         )
 
     def close(self) -> None:
-        """Stop listening and drop all sessions, as a server that exits."""
+        """Stop listening and drop all sessions, as a server that crashes."""
+        self.is_running = False
         if self._listener is not None:
             self._listener.close()
         for session in list(self._sessions):
@@ -266,7 +270,7 @@
         primary.append(entry, writes)
         loop = asyncio.get_running_loop()
         for server in self.servers.values():
-            if server is not primary:
+            if server is not primary and server.is_running:
                 loop.call_later(LAG, self._replicate, server, entry, writes)
 
     def _replicate(self, server: Server, entry: tuple[int, int], writes: list) -> None:
@@ -277,10 +281,33 @@
         """Write a server's entry into the store."""
         self._publish(server.name, server.describe())
 
+    def find_primary(self) -> Server | None:
+        """Return the primary that runs, None if there is none."""
+        running = (s for s in self.servers.values() if s.is_running and s.is_primary)
+        return next(running, None)
+
+    async def crash(self, server: Server, down: float, forget) -> None:
+        """Crash a server; it is back with its log after `down` seconds.
+
+        `forget` removes its entry from the store, after three heartbeats.
+        """
+        server.close()
+        await asyncio.sleep(min(down, EXPIRY))
+        forget(server.name)
+        await asyncio.sleep(max(0.0, down - EXPIRY))
+        primary = self.find_primary()
+        if primary is not None:
+            server.is_primary = False
+            server.term = primary.term
+            server.log, server.items = list(primary.log), dict(primary.items)
+        server.born = int(time.time() * 1000)
+        await server.open()
+        self.report(server)
+
     def promote(self, service: str, name: str) -> int:
         """Take an order to promote; return the status of the answer."""
         server = self.servers.get(name)
-        if server is None:
+        if server is None or not server.is_running:
             return 409
         if not server.is_primary:
             asyncio.get_running_loop().call_later(PROMOTE_TIME, self._lead, server)
@@ -289,7 +316,7 @@
     def _lead(self, server: Server) -> None:
         newest = max(s.term for s in self.servers.values())
         for other in self.servers.values():
-            if other.is_primary:
+            if other.is_primary and other.is_running:
                 other.is_primary = False
                 self.report(other)
         server.is_primary = True
--- a/review/standins_2/deployment.py
+++ b/review/standins_2/deployment.py
@@ -43,6 +43,8 @@
         self._instances_count = count
         self._folder = folder
         self._began_at = time.monotonic()
+        self.first_copy: tuple | None = None  # of the store, before the first start
+        self.first_copy_at = 0.0
         self.instances: list[Instance] = []
 
     def note(self, text: str) -> None:
@@ -63,6 +65,8 @@
             self.group.servers[server.name] = server
             self.group.report(server)
         self.store.put("config", "main", self.make_configuration(7))
+        self.first_copy = self.store.take_copy()
+        self.first_copy_at = time.monotonic()
         address = f"127.0.0.2:{port}"
         seeds = [f"127.0.0.{10 + n}:{port + 2}" for n in range(self._instances_count)]
         settings = make_settings(address, address, seeds[:3])
--- a/review/standins_2/store.py
+++ b/review/standins_2/store.py
@@ -1,18 +1,20 @@
 """Stand-in for the platform's metadata store and its promotion API.
 
 Objects live in memory. The answers follow the pages: revisions, conditional writes,
-pages of a listing, watches. A case can delay answers and act between two pages.
+watches, and a drill in which the store comes back from an earlier copy of itself.
 """
 
 import asyncio
 import copy
 import json
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from urllib.parse import parse_qs, unquote, urlsplit
 
 PAGE_ITEMS = 500
 PAGE_BYTES = 1 << 20
 PREFIX = "/burdocksail/objects/"
+GONE = 410
+ANSWER_TIME = 0.004  # seconds
 
 
 class Store:
@@ -20,18 +22,18 @@
 
     Attributes
     ----------
-    delay : float
-        Seconds before each answer.
-    on_page : callable or None
-        Awaited after each page of a listing has been read and before it is sent.
-        Called with the kind, the name from which the page goes on, and whether more
-        follow.
+    era : int
+        How often the store has come back from a copy.
+    is_away : bool
+        Whether it closes connections without an answer.
+    orders : list of tuple
+        Promotion orders: service, server, holder and fencing token.
     """
 
     def __init__(self) -> None:
         self.revision = 100
-        self.delay = 0.004
-        self.on_page: Callable[[str, str, bool], Awaitable[None]] | None = None
+        self.era = 0
+        self.is_away = False
         self.promote: Callable[[str, str], int] = lambda service, upstream: 404
         self.orders: list[tuple[str, str, str, int]] = []
         self._objects: dict[str, dict[str, dict]] = {}
@@ -76,11 +78,25 @@
         """Return an object, None if there is none."""
         return self._objects.get(kind, {}).get(name)
 
-    def _record(self, kind: str, stored: dict, removed: bool) -> None:
-        self._events.append((self.revision, kind, copy.deepcopy(stored), removed))
+    def take_copy(self) -> tuple:
+        """Return a copy from which the store can come back."""
+        return self.revision, copy.deepcopy(self._objects), list(self._events)
+
+    def restore(self, taken: tuple) -> None:
+        """Come back from a copy, in the next era; what was written since is gone."""
+        self.revision, self._objects, self._events = taken
+        self.era += 1
+        self.is_away = False
+        self._wake_watches()
+
+    def _wake_watches(self) -> None:
         self._changed.set()
         self._changed = asyncio.Event()
 
+    def _record(self, kind: str, stored: dict, removed: bool) -> None:
+        self._events.append((self.revision, kind, copy.deepcopy(stored), removed))
+        self._wake_watches()
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -103,10 +119,15 @@
         length = int(headers.get("content-length", 0))
         payload = await reader.readexactly(length) if length else b""
         body = json.loads(payload) if payload else {}
+        is_order = target == "/promotion"
+        era = self.era
         status, answer = await self._answer(method, target, headers, body)
+        if not is_order and (self.is_away or era != self.era):
+            return False
         content = json.dumps(answer).encode()
         writer.write(
             f"HTTP/1.1 {status} -\r\nContent-Type: application/json\r\n"
+            f"Store-Era: {self.era}\r\n"
             f"Content-Length: {len(content)}\r\n\r\n".encode()
             + content
         )
@@ -122,17 +143,18 @@
             return self._order(headers, body)
         kind, _, name = url.path.removeprefix(PREFIX).partition("/")
         name = unquote(name)
+        if self.is_away:
+            return 503, {}
         if "watch" in query:
+            if int(query["watch"]) > self.revision:
+                return GONE, {}
             return 200, await self._watch(kind, query)
         if method == "GET" and not name:
             page = self._list(kind, query.get("after", ""))
-            if self.on_page is not None:
-                last = page["items"][-1]["meta"]["name"] if page["items"] else ""
-                await self.on_page(kind, last, page["more"])
-            await asyncio.sleep(self.delay)
+            await asyncio.sleep(ANSWER_TIME)
             return 200, page
         result = self._call(method, kind, name, body, query)
-        await asyncio.sleep(self.delay)
+        await asyncio.sleep(ANSWER_TIME)
         return result
 
     def _order(self, headers: dict, body: dict) -> tuple[int, object]:
