--- a/review/standins_2/fleet.py
+++ b/review/standins_2/fleet.py
@@ -17,7 +17,9 @@
 
 def find_free_ports(count: int) -> int:
     """Return the first of `count` ports that are free at all loopback addresses."""
-    for first in range(21000, 60000, 50):
+    # Cases that run at the same time begin their search at different ports.
+    start = 21000 + 50 * (os.getpid() % 200)
+    for first in range(start, 60000, 50):
         if all(_is_free(first + i) for i in range(count)):
             return first
     raise OSError("no free ports")
