--- a/review/standins_2/deployment.py
+++ b/review/standins_2/deployment.py
@@ -170,7 +170,8 @@
                 await deployment.open()
                 held = await play(deployment)
             result = HELD if held else BROKEN
-        except (CaseError, TimeoutError, OSError, Ended) as error:
+        except Exception as error:
+            # An error of the case itself says nothing about the rule.
             deployment.note(f"the case could not run: {error!r}")
             for instance in deployment.instances:
                 deployment.note(f"{instance.name}: {instance.read_log()[-2000:]}")
